--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+.PHONY: build test lint run check doc limits
+
+# The most non-blank lines and the widest line of the decision module.
+LINES = 1010
+WIDTH = 110
+
+build:
+	cargo build --release --workspace --locked
+
+test:
+	cargo test --workspace --locked
+
+lint:
+	cargo fmt --all --check
+	cargo clippy --workspace --locked --all-targets -- -D warnings
+
+doc:
+	RUSTDOCFLAGS="-D warnings" cargo doc --workspace --locked --no-deps
+
+# One gatekeeper on the platform; BALANCER_CONFIG names its configuration.
+run: build
+	exec target/release/snowfield
+
+limits:
+	@lines=$$(grep -cv '^[[:space:]]*$$' src/control.rs); \
+	widest=$$(LC_ALL=C.UTF-8 awk '{ if (length($$0) > w) w = length($$0) } END { print w + 0 }' src/control.rs); \
+	echo "src/control.rs: $$lines non-blank lines ($(LINES) at most), widest line $$widest ($(WIDTH) at most)"; \
+	[ "$$lines" -le $(LINES) ] && [ "$$widest" -le $(WIDTH) ]
+
+check: lint test doc build limits
--- /dev/null
+++ b/crates/destination/src/lib.rs
@@ -0,0 +1,357 @@
+//! The destination side: a pool of connections to each destination and the route steps on them.
+//!
+//! A connection carries one route step at a time, since answers come in order and closing is the only way to give up.
+//! Each connection has one coroutine that always reads, so an idle one that is closed by its destination leaves the
+//! pool at once.
+
+use dewproxy::interface::{ListKind, Micros, Outcome, State};
+use exchange::{Destinations, Exchange, RouteStep, StepEnd, StepId};
+use link::{Incoming, Link, locked, spawn};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, OnceLock, Weak};
+use std::time::{Duration, Instant};
+
+mod resp;
+
+pub use crate::resp::RespDestination;
+
+/// Bytes asked of the system in one read.
+const READ: usize = 8 * 1024;
+/// A buffer larger than this is given back once its answer is through.
+const KEPT_BUFFER: usize = 32 * 1024;
+
+/// What came of the bytes at hand.
+#[derive(Debug)]
+pub enum Reading<A> {
+    /// More must come.
+    More,
+    /// An answer is whole.
+    Whole {
+        /// The bytes that it took.
+        used: usize,
+        /// The connection may carry another route step.
+        keep: bool,
+        /// How the route step ended.
+        end: StepEnd<A>,
+    },
+    /// No valid answer can come any more.
+    Malformed(&'static str),
+}
+
+/// How destinations are spoken to.
+pub trait Protocol: Send + Sync + 'static {
+    /// What fronts pass on.
+    type Query: Send + Sync + 'static;
+    /// What destinations answer.
+    type Answer: Send + 'static;
+    /// Appends the request of a route step whose answer is waited for so long.
+    fn write(&self, query: &Self::Query, to: SocketAddr, time_left: Micros, out: &mut Vec<u8>);
+    /// Looks for an answer at the start of the buffer; `end` tells that no more bytes will come.
+    fn read(&self, query: &Self::Query, buffer: &[u8], end: bool) -> Reading<Self::Answer>;
+}
+
+/// Bounds and spans of the pools.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// A connection not made by then has failed.
+    pub connect: Duration,
+    /// An idle connection is closed after this, before its destination does so.
+    pub idle: Duration,
+    /// Connections to all destinations together.
+    pub connections: usize,
+    /// The most bytes of one answer.
+    pub answer: usize,
+}
+
+/// A destination as discovery tells of it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Place {
+    /// Its number.
+    pub id: u32,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Where it stands.
+    pub state: State,
+    /// Its last start: connections from before are dead.
+    pub started: Micros,
+}
+
+/// The connections to all destinations.
+pub struct Pools<P: Protocol> {
+    me: Weak<Self>,
+    protocol: P,
+    limits: Limits,
+    exchange: OnceLock<Arc<Exchange<P::Query, P::Answer>>>,
+    state: Mutex<Table<P::Query>>,
+}
+
+struct Table<Q> {
+    pools: HashMap<u32, Pool<Q>>,
+    busy: HashMap<StepId, Busy<Q>>,
+    /// Connections that are open or being made.
+    open: usize,
+}
+
+struct Pool<Q> {
+    place: Place,
+    /// Idle connections, the one used last at the end.
+    idle: Vec<(Arc<Connection<Q>>, Instant)>,
+}
+
+enum Busy<Q> {
+    Connecting,
+    On(Arc<Connection<Q>>),
+}
+
+struct Connection<Q> {
+    link: Link,
+    job: Mutex<Option<(StepId, Arc<Q>)>>,
+}
+
+impl<P: Protocol> Pools<P> {
+    /// Pools that know no destination yet.
+    pub fn new(protocol: P, limits: Limits) -> Arc<Self> {
+        let state = Mutex::new(Table { pools: HashMap::new(), busy: HashMap::new(), open: 0 });
+        Arc::new_cyclic(|me| Self { me: me.clone(), protocol, limits, exchange: OnceLock::new(), state })
+    }
+
+    /// Names the exchange that hears how route steps end.
+    pub fn connect(&self, exchange: Arc<Exchange<P::Query, P::Answer>>) {
+        // Connected twice, the first stays.
+        let _ = self.exchange.set(exchange);
+    }
+
+    fn exchange(&self) -> &Exchange<P::Query, P::Answer> {
+        self.exchange.get().expect("connect comes before any route step")
+    }
+
+    /// Takes in news of the destinations. This must come before the exchange hears of them.
+    pub fn listed(&self, kind: ListKind, places: &[Place]) {
+        let mut state = locked(&self.state);
+        if matches!(kind, ListKind::Cached | ListKind::Full) {
+            state.pools.values_mut().for_each(|p| p.place.state = State::Gone);
+        }
+        for place in places {
+            match state.pools.get_mut(&place.id) {
+                Some(pool) => {
+                    let moved = pool.place.address != place.address || pool.place.started != place.started;
+                    pool.place = place.clone();
+                    if moved {
+                        close_idle(pool);
+                    }
+                }
+                None => {
+                    state.pools.insert(place.id, Pool { place: place.clone(), idle: Vec::new() });
+                }
+            }
+        }
+        state.pools.values_mut().filter(|p| p.place.state != State::Ready).for_each(close_idle);
+        state.pools.retain(|_, p| p.place.state != State::Gone);
+    }
+
+    /// Closes connections that have been idle for long; call it now and then.
+    pub fn sweep(&self) {
+        let now = Instant::now();
+        for pool in locked(&self.state).pools.values_mut() {
+            let idle = self.limits.idle;
+            pool.idle.retain(|(connection, since)| {
+                let keep = now.duration_since(*since) < idle;
+                if !keep {
+                    connection.link.close();
+                }
+                keep
+            });
+        }
+    }
+
+    /// Connections that are open or being made.
+    pub fn open(&self) -> usize {
+        locked(&self.state).open
+    }
+
+    /// An idle connection on which this step was begun, or where to make a new one; `None` where neither can be had.
+    fn place_for(&self, step: &RouteStep<P::Query>) -> Option<Result<Arc<Connection<P::Query>>, SocketAddr>> {
+        let mut state = locked(&self.state);
+        let table = &mut *state;
+        let pool = table.pools.get_mut(&step.destination)?;
+        while let Some((connection, _)) = pool.idle.pop() {
+            if !connection.link.is_closed() {
+                *locked(&connection.job) = Some((step.id, step.query.clone()));
+                table.busy.insert(step.id, Busy::On(connection.clone()));
+                return Some(Ok(connection));
+            }
+        }
+        let address = pool.place.address;
+        if table.open >= self.limits.connections {
+            // Another destination's idle connection makes room.
+            let oldest = table.pools.values_mut().filter(|p| !p.idle.is_empty()).min_by_key(|p| p.idle[0].1);
+            oldest?.idle.remove(0).0.link.close();
+        }
+        table.open += 1;
+        table.busy.insert(step.id, Busy::Connecting);
+        Some(Err(address))
+    }
+
+    /// Opens a connection, makes the step on it if it is still wanted, and serves the connection.
+    fn run_connection(&self, step: RouteStep<P::Query>, to: SocketAddr) {
+        let begun = Instant::now();
+        let link = Link::connect(to, self.limits.connect);
+        let connection = link.map(|link| Arc::new(Connection { link, job: Mutex::new(None) }));
+        let wanted = {
+            let mut state = locked(&self.state);
+            // A destination that drained or went while the connection was made gets nothing new.
+            let ready = state.pools.get(&step.destination).is_some_and(|p| p.place.state == State::Ready);
+            let wanted = state.busy.remove(&step.id).is_some();
+            match &connection {
+                Ok(connection) if wanted && ready => {
+                    *locked(&connection.job) = Some((step.id, step.query.clone()));
+                    state.busy.insert(step.id, Busy::On(connection.clone()));
+                    None
+                }
+                _ => Some(wanted),
+            }
+        };
+        match (connection, wanted) {
+            (Ok(connection), None) => {
+                let time_left = step.time_left.saturating_sub(begun.elapsed().as_micros() as Micros);
+                if self.begin(&connection, &step, to, time_left).is_err() {
+                    self.broke(&connection, Outcome::ConnectFailed);
+                }
+                self.serve(step.destination, &connection);
+            }
+            (Ok(connection), Some(wanted)) => {
+                if wanted {
+                    self.exchange().step_ended(step.id, StepEnd::plain(Outcome::ConnectFailed));
+                    connection.link.close();
+                } else {
+                    self.keep(step.destination, &connection);
+                }
+                self.serve(step.destination, &connection);
+            }
+            (Err(_), wanted) => {
+                locked(&self.state).open -= 1;
+                if wanted == Some(true) {
+                    self.exchange().step_ended(step.id, StepEnd::plain(Outcome::ConnectFailed));
+                }
+            }
+        }
+    }
+
+    fn begin(
+        &self,
+        connection: &Connection<P::Query>,
+        step: &RouteStep<P::Query>,
+        to: SocketAddr,
+        time_left: Micros,
+    ) -> std::io::Result<bool> {
+        let mut bytes = Vec::with_capacity(512);
+        self.protocol.write(&step.query, to, time_left, &mut bytes);
+        connection.link.send(&bytes)
+    }
+
+    /// Reads answers until the connection ends.
+    fn serve(&self, destination: u32, connection: &Arc<Connection<P::Query>>) {
+        let mut buffer = Vec::new();
+        loop {
+            let incoming = connection.link.receive(&mut buffer, READ);
+            let end = !matches!(incoming, Ok(Incoming::Bytes(_)));
+            let job = locked(&connection.job).clone();
+            let Some((id, query)) = job else {
+                // Nothing was asked: the destination has closed, or speaks out of turn.
+                break;
+            };
+            let reading =
+                if incoming.is_err() { Reading::More } else { self.protocol.read(&query, &buffer, end) };
+            match reading {
+                Reading::Whole { used, keep, end: step_end } => {
+                    locked(&self.state).busy.remove(&id);
+                    *locked(&connection.job) = None;
+                    let keep = keep && !end && used == buffer.len() && connection.link.unsent() == 0;
+                    buffer.clear();
+                    if buffer.capacity() > KEPT_BUFFER {
+                        buffer = Vec::new();
+                    }
+                    if keep {
+                        self.keep(destination, connection);
+                    } else {
+                        connection.link.close();
+                    }
+                    self.exchange().step_ended(id, step_end);
+                }
+                Reading::More if !end && buffer.len() <= self.limits.answer => {}
+                // Broken before the request's last byte was written: it never ran. After that it may have.
+                _ => {
+                    let unsent = connection.link.unsent() > 0;
+                    self.broke(connection, if unsent { Outcome::ConnectFailed } else { Outcome::Reset });
+                    break;
+                }
+            }
+        }
+        connection.link.close();
+        let mut state = locked(&self.state);
+        state.open -= 1;
+        if let Some(pool) = state.pools.get_mut(&destination) {
+            pool.idle.retain(|(idle, _)| !Arc::ptr_eq(idle, connection));
+        }
+    }
+
+    /// The connection is of no more use; what it carried has ended.
+    fn broke(&self, connection: &Connection<P::Query>, outcome: Outcome) {
+        connection.link.close();
+        let job = locked(&connection.job).take();
+        if let Some((id, _)) = job {
+            locked(&self.state).busy.remove(&id);
+            self.exchange().step_ended(id, StepEnd::plain(outcome));
+        }
+    }
+
+    fn keep(&self, destination: u32, connection: &Arc<Connection<P::Query>>) {
+        let mut state = locked(&self.state);
+        match state.pools.get_mut(&destination).filter(|p| p.place.state == State::Ready) {
+            Some(pool) => pool.idle.push((connection.clone(), Instant::now())),
+            None => connection.link.close(),
+        }
+    }
+}
+
+fn close_idle<Q>(pool: &mut Pool<Q>) {
+    pool.idle.drain(..).for_each(|(connection, _)| connection.link.close());
+}
+
+impl<P: Protocol> Destinations<P::Query> for Pools<P> {
+    fn start(&self, step: RouteStep<P::Query>) {
+        loop {
+            match self.place_for(&step) {
+                Some(Ok(connection)) => {
+                    let to = locked(&self.state).pools.get(&step.destination).map(|p| p.place.address);
+                    let Some(to) = to else { continue };
+                    match self.begin(&connection, &step, to, step.time_left) {
+                        Ok(_) => return,
+                        // It broke before anything was written, so the step never ran and another may carry it.
+                        Err(_) => {
+                            *locked(&connection.job) = None;
+                            locked(&self.state).busy.remove(&step.id);
+                            connection.link.close();
+                        }
+                    }
+                }
+                Some(Err(address)) => {
+                    if let Some(me) = self.me.upgrade() {
+                        spawn(move || me.run_connection(step, address));
+                    }
+                    return;
+                }
+                None => return self.exchange().step_ended(step.id, StepEnd::plain(Outcome::ConnectFailed)),
+            }
+        }
+    }
+
+    fn give_up(&self, step: StepId, _destination: u32) {
+        let busy = locked(&self.state).busy.remove(&step);
+        if let Some(Busy::On(connection)) = busy {
+            *locked(&connection.job) = None;
+            connection.link.close();
+        }
+    }
+}
--- /dev/null
+++ b/crates/discovery/src/lib.rs
@@ -0,0 +1,126 @@
+//! The client of the discovery agent: a watch over HTTP/1.1 that comes back at the version it last had.
+
+use http::{Chunks, Framing};
+use link::{Incoming, Link, locked};
+use settings::HostList;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// The agent writes at least an empty line in 2 s; a link without any for this long is dead.
+const SILENCE: Duration = Duration::from_millis(5_000);
+const CONNECT: Duration = Duration::from_millis(500);
+/// Between two connections.
+const PAUSE: Duration = Duration::from_millis(200);
+/// The most bytes of one object: some thousand destinations.
+const LARGEST_LINE: usize = 4 * 1024 * 1024;
+
+/// The watch on the discovery agent.
+pub struct Watch {
+    address: SocketAddr,
+    open: Mutex<Option<(Arc<Link>, Instant)>>,
+}
+
+impl Watch {
+    /// A watch that is not yet running.
+    pub fn new(address: SocketAddr) -> Arc<Self> {
+        Arc::new(Self { address, open: Mutex::new(None) })
+    }
+
+    /// Closes a connection that has gone silent; call it now and then.
+    pub fn sweep(&self) {
+        if let Some((link, heard)) = &*locked(&self.open)
+            && heard.elapsed() > SILENCE
+        {
+            link.close();
+        }
+    }
+
+    /// Watches for ever, from this version on; runs in a coroutine with a large stack, since it parses JSON. `told`
+    /// gets each list.
+    pub fn run(&self, mut rev: u64, told: impl Fn(HostList)) {
+        let mut lost = false;
+        loop {
+            let ended = self.follow(&mut rev, &told, &mut lost);
+            locked(&self.open).take();
+            if !lost {
+                println!("discovery: the watch ended ({ended}); the last list stays, version {rev}");
+                lost = true;
+            }
+            link::sleep(PAUSE);
+        }
+    }
+
+    /// One connection's life; returns why it ended.
+    fn follow(&self, rev: &mut u64, told: &impl Fn(HostList), lost: &mut bool) -> String {
+        let link = match Link::connect(self.address, CONNECT) {
+            Ok(link) => Arc::new(link),
+            Err(error) => return error.to_string(),
+        };
+        *locked(&self.open) = Some((link.clone(), Instant::now()));
+        let mut request = String::new();
+        let _ = write!(
+            request,
+            "GET /discovery/hosts?stream=1&index={rev} HTTP/1.1\r\nHost: {}\r\n\r\n",
+            self.address
+        );
+        if let Err(error) = link.send(request.as_bytes()) {
+            return error.to_string();
+        }
+        let (mut raw, mut body) = (Vec::new(), Vec::new());
+        let mut head = None;
+        let mut chunks = Chunks::default();
+        loop {
+            match link.receive(&mut raw, 16 * 1024) {
+                Ok(Incoming::Bytes(_)) => {}
+                Ok(Incoming::End) => return "the agent closed it".into(),
+                Err(error) => return error.to_string(),
+            }
+            if let Some((_, heard)) = &mut *locked(&self.open) {
+                *heard = Instant::now();
+            }
+            if head.is_none() {
+                match http::answer_head(&raw, false) {
+                    Ok(Some(h)) if h.status == 200 => {
+                        raw.drain(..h.end);
+                        head = Some(h);
+                    }
+                    Ok(Some(h)) => return format!("status {}", h.status),
+                    Ok(None) => continue,
+                    Err(error) => return error.to_string(),
+                }
+            }
+            match head.as_ref().map(|h| h.framing) {
+                Some(Framing::Chunked) => match chunks.decode(&raw, 0, &mut body) {
+                    Ok(used) => drop(raw.drain(..used)),
+                    Err(error) => return error.to_string(),
+                },
+                _ => body.append(&mut raw),
+            }
+            while let Some(end) = body.iter().position(|&b| b == b'\n') {
+                let mut line: Vec<u8> = body.drain(..=end).collect();
+                if line.trim_ascii().is_empty() {
+                    continue;
+                }
+                match simd_json::serde::from_slice::<HostList>(&mut line) {
+                    Ok(list) => {
+                        if *lost {
+                            println!("discovery: the watch is back at version {}", list.rev);
+                            *lost = false;
+                        }
+                        *rev = list.rev;
+                        told(list);
+                    }
+                    Err(error) => return format!("an unreadable object: {error}"),
+                }
+            }
+            if body.len() > LARGEST_LINE {
+                return "an object is too large".into();
+            }
+            if chunks.is_done() {
+                return "the answer ended".into();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/exchange/src/core.rs
@@ -0,0 +1,371 @@
+//! What lies behind the exchange's lock: the module, the table of operations and the calls that are out.
+
+use crate::timers::{Due, Timers};
+use crate::{CounterCall, FinalAnswer, Operation, OperationId, Reply, RouteStep, StepEnd, StepId, Why};
+use dewproxy::Gateway;
+use dewproxy::interface::{
+    Action, BackendEntry, Event, ListKind, Micros, Outcome, Settings, SettingsError, State,
+};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::sync::Arc;
+
+/// What is to be done once the lock is free, in order.
+pub(crate) enum Effect<Q, A> {
+    Start(RouteStep<Q>),
+    GiveUp(StepId, u32),
+    Answer(Reply<A>, FinalAnswer<A>),
+    Call(CounterCall),
+    Log(String),
+}
+
+/// One route step as the table knows it.
+struct Step {
+    destination: u32,
+    sent: Micros,
+    open: bool,
+}
+
+struct Entry<Q, A> {
+    query: Arc<Q>,
+    /// Taken when the final answer is given or the client leaves.
+    reply: Option<Reply<A>>,
+    deadline: Micros,
+    steps: Vec<Step>,
+    last: Option<Outcome>,
+}
+
+impl<Q, A> Entry<Q, A> {
+    fn is_over(&self) -> bool {
+        self.reply.is_none()
+    }
+}
+
+/// Figures for the console.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Status {
+    /// Operations without a final answer.
+    pub unanswered: usize,
+    /// Final answers so far: served, busy and failed.
+    pub answers: [u64; 3],
+    /// Units of the operations that were sent on, once each.
+    pub units_sent: f64,
+    /// Calls made to the counter.
+    pub calls: u64,
+    /// By destination: its state and its steps out.
+    pub destinations: BTreeMap<u32, (State, usize)>,
+}
+
+pub(crate) struct Core<Q, A> {
+    gateway: Gateway,
+    max_attempts: usize,
+    counter_wait: Micros,
+    tick: Micros,
+    operations: HashMap<OperationId, Entry<Q, A>>,
+    next_operation: OperationId,
+    calls: HashMap<u64, (u64, Micros)>,
+    next_call: u64,
+    units: HashMap<OperationId, f64>,
+    status: Status,
+    queue: VecDeque<Event>,
+    actions: Vec<Action>,
+    pub(crate) timers: Timers,
+    /// When the runner of the timers wakes by itself.
+    pub(crate) awake_at: Option<Micros>,
+}
+
+type Effects<Q, A> = Vec<Effect<Q, A>>;
+
+impl<Q, A> Core<Q, A> {
+    pub(crate) fn new(settings: Settings, seed: u64, now: Micros) -> Result<Self, SettingsError> {
+        let (max_attempts, counter_wait, tick) =
+            (settings.max_attempts as usize, settings.counter_wait, settings.tick);
+        Ok(Self {
+            gateway: Gateway::new(settings, seed, now)?,
+            max_attempts,
+            counter_wait,
+            tick,
+            operations: HashMap::new(),
+            next_operation: 0,
+            calls: HashMap::new(),
+            next_call: 0,
+            units: HashMap::new(),
+            status: Status::default(),
+            queue: VecDeque::new(),
+            actions: Vec::new(),
+            timers: Timers::default(),
+            awake_at: None,
+        })
+    }
+
+    pub(crate) fn submit(
+        &mut self,
+        now: Micros,
+        operation: Operation<Q>,
+        reply: Reply<A>,
+        effects: &mut Effects<Q, A>,
+    ) -> OperationId {
+        while self.operations.contains_key(&self.next_operation) {
+            self.next_operation = self.next_operation.wrapping_add(1);
+        }
+        let id = self.next_operation;
+        self.next_operation = id.wrapping_add(1);
+        let Operation { class, plan, customer, time_left, set_size, units, repeat, query } = operation;
+        let deadline = now.saturating_add(time_left);
+        let entry =
+            Entry { query: Arc::new(query), reply: Some(reply), deadline, steps: Vec::new(), last: None };
+        self.operations.insert(id, entry);
+        self.units.insert(id, units);
+        self.timers.set(deadline, Due::Deadline(id));
+        self.feed(
+            now,
+            Event::Request { id, class, plan, customer, time_left, set_size, units, repeat },
+            effects,
+        );
+        id
+    }
+
+    /// Hands one event to the module and carries out what it asks for; what follows from that at once is fed too.
+    pub(crate) fn feed(&mut self, now: Micros, event: Event, effects: &mut Effects<Q, A>) {
+        self.queue.push_back(event);
+        self.run_queue(now, effects);
+    }
+
+    fn run_queue(&mut self, now: Micros, effects: &mut Effects<Q, A>) {
+        while let Some(event) = self.queue.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.gateway.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.carry_out(now, action, effects);
+            }
+            self.actions = actions;
+        }
+    }
+
+    fn carry_out(&mut self, now: Micros, action: Action, effects: &mut Effects<Q, A>) {
+        match action {
+            Action::Send { id, backend, timeout } => self.send(now, id, backend, timeout, effects),
+            Action::Cancel { id, attempt } => {
+                self.end_step(now, StepId { operation: id, attempt }, Outcome::Cancelled, effects);
+            }
+            Action::Refuse { id, retry_after } => {
+                let why = self.why(now, id);
+                self.answer(id, FinalAnswer::Busy { retry_after, why }, effects);
+            }
+            Action::Fail { id } => {
+                let why = self.why(now, id);
+                self.answer(id, FinalAnswer::Failed(why), effects);
+            }
+            Action::Timer { after, token } => self.timers.set(now + after, Due::Module(token)),
+            Action::Count { name, add, keep } => {
+                let id = self.next_call;
+                self.next_call += 1;
+                self.status.calls += 1;
+                self.calls.insert(id, (name, now));
+                self.timers.set(now + self.counter_wait, Due::Call(id));
+                effects.push(Effect::Call(CounterCall { id, name, add, keep }));
+            }
+            Action::Log(text) => effects.push(Effect::Log(text)),
+            // Discovery is watched from the start, and sites with probes are not served.
+            Action::Subscribe | Action::Probe { .. } => {}
+        }
+    }
+
+    fn send(
+        &mut self,
+        now: Micros,
+        id: OperationId,
+        destination: u32,
+        timeout: Micros,
+        effects: &mut Effects<Q, A>,
+    ) {
+        let Some(entry) = self.operations.get_mut(&id) else { return };
+        let attempt = entry.steps.len() as u8;
+        let step = StepId { operation: id, attempt };
+        let moot = entry.is_over() || now >= entry.deadline || entry.steps.len() >= self.max_attempts;
+        entry.steps.push(Step { destination, sent: now, open: true });
+        if moot {
+            self.close_step(now, step, Outcome::Moot, Vec::new());
+            self.forget(id);
+            return;
+        }
+        if let Some(units) = self.units.remove(&id) {
+            self.status.units_sent += units;
+        }
+        self.status.destinations.entry(destination).or_insert((State::Ready, 0)).1 += 1;
+        let mut time_left = entry.deadline - now;
+        if timeout > 0 && timeout < time_left {
+            time_left = timeout;
+            self.timers.set(now + timeout, step.into());
+        }
+        effects.push(Effect::Start(RouteStep {
+            id: step,
+            destination,
+            time_left,
+            query: entry.query.clone(),
+        }));
+    }
+
+    /// Closes a step in the table and queues its end for the module. Tells whether it was open.
+    fn close_step(&mut self, now: Micros, id: StepId, outcome: Outcome, load: Vec<f32>) -> bool {
+        let Some(entry) = self.operations.get_mut(&id.operation) else { return false };
+        let over = entry.is_over();
+        let Some(step) = entry.steps.get_mut(usize::from(id.attempt)).filter(|s| s.open) else {
+            return false;
+        };
+        step.open = false;
+        entry.last = Some(outcome);
+        if let Some(d) = self.status.destinations.get_mut(&step.destination) {
+            d.1 = d.1.saturating_sub(1);
+        }
+        self.queue.push_back(Event::Ended {
+            id: id.operation,
+            attempt: id.attempt,
+            backend: step.destination,
+            outcome,
+            elapsed: now - step.sent,
+            units: 0.0,
+            settled: over || outcome == Outcome::Ok,
+            load,
+        });
+        true
+    }
+
+    /// Ends a step from this side.
+    fn end_step(&mut self, now: Micros, id: StepId, outcome: Outcome, effects: &mut Effects<Q, A>) {
+        if self.close_step(now, id, outcome, Vec::new()) {
+            let destination = self.operations[&id.operation].steps[usize::from(id.attempt)].destination;
+            effects.push(Effect::GiveUp(id, destination));
+        }
+    }
+
+    pub(crate) fn step_ended(
+        &mut self,
+        now: Micros,
+        id: StepId,
+        end: StepEnd<A>,
+        effects: &mut Effects<Q, A>,
+    ) {
+        if !self.close_step(now, id, end.outcome, end.load) {
+            return;
+        }
+        if let Some(answer) = end.answer.filter(|_| end.outcome == Outcome::Ok) {
+            self.answer(id.operation, FinalAnswer::Served(answer), effects);
+        }
+        self.run_queue(now, effects);
+        self.forget(id.operation);
+    }
+
+    /// Gives the one final answer, if none was given.
+    fn answer(&mut self, id: OperationId, answer: FinalAnswer<A>, effects: &mut Effects<Q, A>) {
+        let Some(reply) = self.operations.get_mut(&id).and_then(|e| e.reply.take()) else { return };
+        let kind = match answer {
+            FinalAnswer::Served(_) => 0,
+            FinalAnswer::Busy { .. } => 1,
+            FinalAnswer::Failed(_) => 2,
+        };
+        self.status.answers[kind] += 1;
+        effects.push(Effect::Answer(reply, answer));
+        self.forget(id);
+    }
+
+    /// Why the module gives an operation up now.
+    fn why(&self, now: Micros, id: OperationId) -> Why {
+        let Some(entry) = self.operations.get(&id) else { return Why::NoRoom };
+        if now + 4 * self.tick >= entry.deadline {
+            return Why::Deadline;
+        }
+        match entry.last {
+            None if self.status.destinations.values().all(|d| d.0 != State::Ready) => Why::NoDestination,
+            None | Some(Outcome::Full | Outcome::Moot) => Why::NoRoom,
+            Some(Outcome::ConnectFailed) => Why::NoDestination,
+            Some(Outcome::Timeout) => Why::Deadline,
+            Some(Outcome::Ok | Outcome::Error | Outcome::Reset | Outcome::Cancelled) => {
+                Why::DestinationFailed
+            }
+        }
+    }
+
+    pub(crate) fn left(&mut self, now: Micros, id: OperationId, effects: &mut Effects<Q, A>) {
+        let Some(entry) = self.operations.get_mut(&id).filter(|e| !e.is_over()) else { return };
+        entry.reply = None;
+        self.feed(now, Event::Left { id }, effects);
+        self.end_open_steps(now, id, Outcome::Cancelled, effects);
+        self.forget(id);
+    }
+
+    fn end_open_steps(
+        &mut self,
+        now: Micros,
+        id: OperationId,
+        outcome: Outcome,
+        effects: &mut Effects<Q, A>,
+    ) {
+        let steps = self.operations.get(&id).map_or(0, |e| e.steps.len());
+        for attempt in 0..steps {
+            self.end_step(now, StepId { operation: id, attempt: attempt as u8 }, outcome, effects);
+        }
+        self.run_queue(now, effects);
+    }
+
+    /// An operation stays until it is over and all its steps have ended, so that late outcomes find their place.
+    fn forget(&mut self, id: OperationId) {
+        if self.operations.get(&id).is_some_and(|e| e.is_over() && e.steps.iter().all(|s| !s.open)) {
+            self.operations.remove(&id);
+            self.units.remove(&id);
+        }
+    }
+
+    pub(crate) fn call_ended(
+        &mut self,
+        now: Micros,
+        id: u64,
+        outcome: Outcome,
+        total: f64,
+        effects: &mut Effects<Q, A>,
+    ) {
+        let Some((name, since)) = self.calls.remove(&id) else { return };
+        self.feed(now, Event::Counted { name, total, elapsed: now - since, outcome }, effects);
+    }
+
+    pub(crate) fn run_due(&mut self, now: Micros, effects: &mut Effects<Q, A>) {
+        while let Some(due) = self.timers.pop(now) {
+            match due {
+                Due::Module(token) => self.feed(now, Event::Timer { token }, effects),
+                Due::Call(id) => self.call_ended(now, id, Outcome::Timeout, 0.0, effects),
+                Due::Step(operation, attempt) => {
+                    self.end_step(now, StepId { operation, attempt }, Outcome::Timeout, effects);
+                    self.run_queue(now, effects);
+                    self.forget(operation);
+                }
+                Due::Deadline(id) => {
+                    self.end_open_steps(now, id, Outcome::Timeout, effects);
+                    // The module answers before this. Were it ever not to, the operation still gets its answer.
+                    if self.operations.get(&id).is_some_and(|e| !e.is_over()) {
+                        self.answer(id, FinalAnswer::Failed(Why::Deadline), effects);
+                        self.feed(now, Event::Left { id }, effects);
+                    }
+                    self.forget(id);
+                }
+            }
+        }
+    }
+
+    /// Keeps what the console shows of the destinations.
+    pub(crate) fn note_list(&mut self, kind: ListKind, entries: &[BackendEntry]) {
+        if matches!(kind, ListKind::Cached | ListKind::Full) {
+            self.status.destinations.values_mut().for_each(|d| d.0 = State::Gone);
+        }
+        for entry in entries {
+            self.status.destinations.entry(entry.id).or_insert((entry.state, 0)).0 = entry.state;
+        }
+        self.status.destinations.retain(|_, d| d.0 != State::Gone || d.1 > 0);
+    }
+
+    pub(crate) fn unanswered(&self) -> usize {
+        self.operations.values().filter(|e| !e.is_over()).count()
+    }
+
+    pub(crate) fn status(&self) -> Status {
+        Status { unanswered: self.unanswered(), ..self.status.clone() }
+    }
+}
--- /dev/null
+++ b/crates/exchange/src/lib.rs
@@ -0,0 +1,291 @@
+//! The core: where the front and the destination side meet.
+//!
+//! [`Exchange`] owns the decision module, the table of operations, the timers and the calls to the quota counter. It
+//! knows no wire and no socket: what a front passes on (`Q`) and what a destination answers (`A`) are opaque here.
+//! Everything that happens becomes one [`Event`] for the module; what the module asks for is carried out after the
+//! lock is free, so either side may call back at once.
+
+mod core;
+mod timers;
+
+use dewproxy::interface::{BackendEntry, Event, ListKind, Micros, Outcome, Settings, SettingsError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+pub use crate::core::Status;
+
+/// The number of an operation at this gatekeeper.
+pub type OperationId = u32;
+
+/// What a front hands in.
+#[derive(Debug)]
+pub struct Operation<Q> {
+    /// Number of its class in the settings.
+    pub class: u16,
+    /// Number of its customer's plan in the settings.
+    pub plan: u32,
+    /// Its customer.
+    pub customer: u64,
+    /// How long until it must have its final answer.
+    pub time_left: Micros,
+    /// How many gatekeepers its customer's operations come through.
+    pub set_size: f64,
+    /// Units that it takes from the quota.
+    pub units: f64,
+    /// A client's marked repeat.
+    pub repeat: bool,
+    /// What goes on to a destination.
+    pub query: Q,
+}
+
+/// One attempt of an operation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct StepId {
+    /// The operation.
+    pub operation: OperationId,
+    /// Attempts count from 0.
+    pub attempt: u8,
+}
+
+/// An attempt to be made.
+#[derive(Debug)]
+pub struct RouteStep<Q> {
+    /// Its number.
+    pub id: StepId,
+    /// The destination that the module chose.
+    pub destination: u32,
+    /// How long its answer is waited for.
+    pub time_left: Micros,
+    /// What goes on.
+    pub query: Arc<Q>,
+}
+
+/// How a route step ended.
+#[derive(Debug)]
+pub struct StepEnd<A> {
+    /// The outcome.
+    pub outcome: Outcome,
+    /// The answer to pass back, with [`Outcome::Ok`].
+    pub answer: Option<A>,
+    /// The load report, by the settings' columns; empty if none.
+    pub load: Vec<f32>,
+}
+
+impl<A> StepEnd<A> {
+    /// An end that brought nothing but its outcome.
+    pub fn plain(outcome: Outcome) -> Self {
+        Self { outcome, answer: None, load: Vec::new() }
+    }
+}
+
+/// Why an operation was not served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// Quota, ceiling or load have no room for it.
+    NoRoom,
+    /// No destination could be had.
+    NoDestination,
+    /// A destination failed.
+    DestinationFailed,
+    /// Its time ran out.
+    Deadline,
+}
+
+/// The one answer that each operation gets.
+#[derive(Debug)]
+pub enum FinalAnswer<A> {
+    /// A destination's answer.
+    Served(A),
+    /// The busy reply: trying again is harmless.
+    Busy {
+        /// When to come back; 0 for no advice.
+        retry_after: Micros,
+        /// The reason.
+        why: Why,
+    },
+    /// Failed, with no promise on its effect.
+    Failed(Why),
+}
+
+/// Where a final answer goes.
+pub type Reply<A> = Box<dyn FnOnce(FinalAnswer<A>) + Send>;
+
+/// The destination side as the core sees it. No call may wait.
+pub trait Destinations<Q>: Send + Sync {
+    /// Makes an attempt; its end is told with [`Exchange::step_ended`], maybe at once.
+    fn start(&self, step: RouteStep<Q>);
+    /// Stops waiting for an attempt; its end is not told any more.
+    fn give_up(&self, step: StepId, destination: u32);
+}
+
+/// A call to the quota counter.
+#[derive(Clone, Copy, Debug)]
+pub struct CounterCall {
+    /// Its number, for [`Exchange::call_ended`].
+    pub id: u64,
+    /// The count's name.
+    pub name: u64,
+    /// What to add.
+    pub add: f64,
+    /// How long a new name lives.
+    pub keep: Micros,
+}
+
+/// The counter as the core sees it. No call may wait.
+pub trait QuotaCounter: Send + Sync {
+    /// Makes a call; its end is told with [`Exchange::call_ended`], maybe at once.
+    fn call(&self, call: CounterCall);
+}
+
+/// The machine's clock in microseconds since 1970, steady after its start. All gatekeepers read about the same, which
+/// the names of counts need.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    base: Micros,
+    start: Instant,
+}
+
+impl Clock {
+    /// Reads the wall clock once.
+    pub fn start() -> Self {
+        let base = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as Micros);
+        Self { base, start: Instant::now() }
+    }
+
+    /// The time.
+    pub fn now(&self) -> Micros {
+        self.base + self.start.elapsed().as_micros() as Micros
+    }
+}
+
+/// Where the front and the destination side meet.
+pub struct Exchange<Q, A> {
+    clock: Clock,
+    core: Mutex<core::Core<Q, A>>,
+    destinations: OnceLock<Arc<dyn Destinations<Q>>>,
+    counter: OnceLock<Arc<dyn QuotaCounter>>,
+    waker: OnceLock<Box<dyn Fn() + Send + Sync>>,
+}
+
+impl<Q: Send + Sync + 'static, A: Send + 'static> Exchange<Q, A> {
+    /// An exchange that knows no destination yet.
+    ///
+    /// # Errors
+    ///
+    /// The settings cannot be used.
+    pub fn new(settings: Settings, seed: u64, clock: Clock) -> Result<Arc<Self>, SettingsError> {
+        let core = Mutex::new(core::Core::new(settings, seed, clock.now())?);
+        let (destinations, counter, waker) = (OnceLock::new(), OnceLock::new(), OnceLock::new());
+        Ok(Arc::new(Self { clock, core, destinations, counter, waker }))
+    }
+
+    /// Names the two sides that carry out what the module asks for, and who is to run the timers when one is set that
+    /// is due before the time that [`Exchange::run_due`] told last.
+    pub fn connect(
+        &self,
+        destinations: Arc<dyn Destinations<Q>>,
+        counter: Option<Arc<dyn QuotaCounter>>,
+        waker: Box<dyn Fn() + Send + Sync>,
+    ) {
+        // Connected twice, the first stays.
+        let _ = self.destinations.set(destinations);
+        if let Some(counter) = counter {
+            let _ = self.counter.set(counter);
+        }
+        let _ = self.waker.set(waker);
+    }
+
+    /// Takes an operation in. `reply` is called once, maybe before this returns, unless the client leaves.
+    pub fn submit(&self, operation: Operation<Q>, reply: Reply<A>) -> OperationId {
+        let mut id = 0;
+        self.drive(|core, now, effects| id = core.submit(now, operation, reply, effects));
+        id
+    }
+
+    /// The client of this operation has gone away: it needs no answer, and its steps are given up.
+    pub fn left(&self, id: OperationId) {
+        self.drive(|core, now, effects| core.left(now, id, effects));
+    }
+
+    /// A route step ended. One that was given up, or has ended before, is passed over.
+    pub fn step_ended(&self, id: StepId, end: StepEnd<A>) {
+        self.drive(|core, now, effects| core.step_ended(now, id, end, effects));
+    }
+
+    /// A call to the counter ended. One that was given up before is passed over.
+    pub fn call_ended(&self, id: u64, outcome: Outcome, total: f64) {
+        self.drive(|core, now, effects| core.call_ended(now, id, outcome, total, effects));
+    }
+
+    /// News of the destinations.
+    pub fn listed(&self, kind: ListKind, entries: Vec<BackendEntry>) {
+        self.drive(|core, now, effects| {
+            core.note_list(kind, &entries);
+            core.feed(now, Event::Backends { kind, entries }, effects);
+        });
+    }
+
+    /// Runs the timers that are due and tells how long until the next, if there is one.
+    pub fn run_due(&self) -> Option<Micros> {
+        self.drive(core::Core::run_due);
+        let mut core = self.lock();
+        let next = core.timers.next();
+        core.awake_at = next;
+        next.map(|at| at.saturating_sub(self.clock.now()))
+    }
+
+    /// What is in hand, for the console.
+    pub fn status(&self) -> Status {
+        self.lock().status()
+    }
+
+    /// Operations that have no final answer yet.
+    pub fn unanswered(&self) -> usize {
+        self.lock().unanswered()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, core::Core<Q, A>> {
+        // A panic of the module leaves the table half-changed. Going on could break a rule in silence.
+        self.core.lock().unwrap_or_else(|_| {
+            eprintln!("fatal: a panic left the exchange half-changed");
+            std::process::abort()
+        })
+    }
+
+    /// Changes the core under its lock, then carries out what came of it.
+    fn drive(&self, change: impl FnOnce(&mut core::Core<Q, A>, Micros, &mut Vec<core::Effect<Q, A>>)) {
+        let mut effects = Vec::new();
+        let wake = {
+            let mut core = self.lock();
+            change(&mut core, self.clock.now(), &mut effects);
+            let next = core.timers.next();
+            let wake = next.is_some_and(|at| core.awake_at.is_none_or(|awake| at < awake));
+            if wake {
+                core.awake_at = next;
+            }
+            wake
+        };
+        if let Some(waker) = self.waker.get().filter(|_| wake) {
+            waker();
+        }
+        for effect in effects {
+            match effect {
+                core::Effect::Start(step) => match self.destinations.get() {
+                    Some(side) => side.start(step),
+                    None => self.step_ended(step.id, StepEnd::plain(Outcome::ConnectFailed)),
+                },
+                core::Effect::GiveUp(step, destination) => {
+                    if let Some(side) = self.destinations.get() {
+                        side.give_up(step, destination);
+                    }
+                }
+                core::Effect::Answer(reply, answer) => reply(answer),
+                core::Effect::Call(call) => match self.counter.get() {
+                    Some(counter) => counter.call(call),
+                    None => self.call_ended(call.id, Outcome::ConnectFailed, 0.0),
+                },
+                core::Effect::Log(text) => println!("decisions: {text}"),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/link/src/lib.rs
@@ -0,0 +1,257 @@
+//! Coroutines and non-blocking TCP links.
+//!
+//! All sockets of the program are driven by one `may` worker. Each [`Link`] has one coroutine that waits on it; any
+//! other coroutine may queue bytes on it or close it without ever waiting.
+
+use may::coroutine::{Builder, JoinHandle};
+use may::io::WaitIo;
+use may::net::{TcpListener, TcpStream};
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Mutex, MutexGuard};
+use std::time::Duration;
+
+/// Bytes of stack of an ordinary coroutine. Pages are touched only when used; the room above what the program needs
+/// is for the text of a panic.
+pub const STACK: usize = 128 * 1024;
+/// Bytes of stack where JSON is parsed.
+pub const LARGE_STACK: usize = 1024 * 1024;
+
+/// Sets `may` up for one core: one worker, not pinned, since other programs may share the core.
+pub fn set_up() {
+    may::config().set_workers(1).set_stack_size(words(STACK)).set_pool_capacity(64).set_worker_pin(false);
+}
+
+fn words(bytes: usize) -> usize {
+    bytes / size_of::<usize>()
+}
+
+/// Starts a coroutine with [`STACK`] bytes of stack.
+pub fn spawn<F: FnOnce() + Send + 'static>(f: F) -> JoinHandle<()> {
+    spawn_with(STACK, f)
+}
+
+/// Starts a coroutine with this many bytes of stack.
+///
+/// # Panics
+///
+/// Panics where the system has no memory for the stack.
+#[allow(unsafe_code)]
+pub fn spawn_with<F: FnOnce() + Send + 'static>(stack: usize, f: F) -> JoinHandle<()> {
+    // SAFETY: `may` asks for two things. No coroutine here keeps a reference into thread-local storage over a point
+    // where it waits, and with one worker none ever moves to another thread. Each stack ends in a guard page and is
+    // far larger than what runs on it: parsers don't recurse, and JSON is read on `LARGE_STACK`.
+    unsafe { Builder::new().stack_size(words(stack)).spawn(f) }.expect("memory for a coroutine's stack")
+}
+
+/// Locks a mutex that is held only between two waits, so with one worker it is always free.
+///
+/// A poisoned lock means that the state behind it may be half-changed. Going on could break a rule in silence, so the
+/// program ends; a gatekeeper that starts anew knows what it needs.
+pub fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|_| {
+        eprintln!("fatal: a panic left shared state half-changed");
+        std::process::abort()
+    })
+}
+
+/// A TCP connection that one coroutine waits on and any may write to.
+#[derive(Debug)]
+pub struct Link {
+    stream: TcpStream,
+    out: Mutex<Outgoing>,
+    closed: AtomicBool,
+}
+
+/// Bytes that the socket has not taken yet.
+#[derive(Debug, Default)]
+struct Outgoing {
+    bytes: Vec<u8>,
+    at: usize,
+}
+
+/// What came of a read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Incoming {
+    /// That many bytes were read.
+    Bytes(usize),
+    /// The other side has ended its sending.
+    End,
+}
+
+impl Link {
+    /// Opens a connection, or fails after `timeout`.
+    ///
+    /// # Errors
+    ///
+    /// Passes on what the system says.
+    pub fn connect(to: SocketAddr, timeout: Duration) -> io::Result<Self> {
+        let stream = TcpStream::connect_timeout(&to, timeout)?;
+        Ok(Self::new(stream))
+    }
+
+    /// Takes over an open connection.
+    pub fn new(stream: TcpStream) -> Self {
+        // Without it small answers wait for acknowledgements; where it fails they do, and nothing else is lost.
+        let _ = stream.set_nodelay(true);
+        Self { stream, out: Mutex::default(), closed: AtomicBool::new(false) }
+    }
+
+    /// Writes what the socket takes now and keeps the rest for the coroutine that waits on this link. Tells whether
+    /// all bytes are with the system.
+    ///
+    /// # Errors
+    ///
+    /// The connection is broken or closed.
+    pub fn send(&self, bytes: &[u8]) -> io::Result<bool> {
+        if self.is_closed() {
+            return Err(ErrorKind::NotConnected.into());
+        }
+        let mut out = locked(&self.out);
+        let mut rest = bytes;
+        if out.bytes.is_empty() {
+            while !rest.is_empty() {
+                match self.stream.inner().write(rest) {
+                    Ok(n) => rest = &rest[n..],
+                    Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                    Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                    Err(e) => return Err(e),
+                }
+            }
+        }
+        out.bytes.extend_from_slice(rest);
+        Ok(out.bytes.is_empty())
+    }
+
+    /// Bytes that wait for the socket.
+    pub fn unsent(&self) -> usize {
+        let out = locked(&self.out);
+        out.bytes.len() - out.at
+    }
+
+    fn flush(&self) -> io::Result<()> {
+        let mut out = locked(&self.out);
+        while out.at < out.bytes.len() {
+            match self.stream.inner().write(&out.bytes[out.at..]) {
+                Ok(n) => out.at += n,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        *out = Outgoing::default();
+        Ok(())
+    }
+
+    /// Waits for bytes and appends them, at most `most`; also sends what waits meanwhile. Only the link's own
+    /// coroutine calls this.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke or was closed.
+    pub fn receive(&self, buffer: &mut Vec<u8>, most: usize) -> io::Result<Incoming> {
+        loop {
+            if self.is_closed() {
+                return Err(ErrorKind::NotConnected.into());
+            }
+            self.flush()?;
+            let start = buffer.len();
+            buffer.resize(start + most, 0);
+            let read = self.stream.inner().read(&mut buffer[start..]);
+            buffer.truncate(start + *read.as_ref().unwrap_or(&0));
+            match read {
+                Ok(0) => return Ok(Incoming::End),
+                Ok(n) => return Ok(Incoming::Bytes(n)),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    self.stream.wait_io();
+                }
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+    }
+
+    /// Ends the connection and wakes its coroutine.
+    pub fn close(&self) {
+        if !self.closed.swap(true, Ordering::AcqRel) {
+            // Where the other side is gone already there is nothing left to end.
+            let _ = self.stream.shutdown(Shutdown::Both);
+            self.stream.waker().wakeup();
+        }
+    }
+
+    /// Whether [`Link::close`] was called.
+    pub fn is_closed(&self) -> bool {
+        self.closed.load(Ordering::Acquire)
+    }
+}
+
+/// A listener whose accept loop can be ended from outside.
+#[derive(Debug)]
+pub struct Door(TcpListener);
+
+impl Door {
+    /// Listens on this address only.
+    ///
+    /// # Errors
+    ///
+    /// Passes on what the system says.
+    pub fn open(at: SocketAddr) -> io::Result<Self> {
+        TcpListener::bind(at).map(Self)
+    }
+
+    /// The address that it listens on.
+    ///
+    /// # Errors
+    ///
+    /// Passes on what the system says.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.0.local_addr()
+    }
+
+    /// Waits for the next connection; `None` once the door is shut.
+    pub fn accept(&self) -> Option<Link> {
+        loop {
+            match self.0.accept() {
+                Ok((stream, _)) => return Some(Link::new(stream)),
+                // A shut listener says so with this; all other errors concern one connection or pass by.
+                Err(e) if e.kind() == ErrorKind::InvalidInput => return None,
+                // Out of descriptors: others must close before this can go on.
+                Err(_) => may::coroutine::sleep(Duration::from_millis(5)),
+            }
+        }
+    }
+
+    /// Refuses new connections from now on.
+    pub fn shut(&self) {
+        // It can only fail where the listener is shut already.
+        let _ = socket2::SockRef::from(self.0.inner()).shutdown(Shutdown::Both);
+    }
+}
+
+/// Lets other coroutines run for this long.
+pub fn sleep(span: Duration) {
+    may::coroutine::sleep(span);
+}
+
+/// Puts a coroutine to rest until it is woken or a span is over.
+#[derive(Debug, Default)]
+pub struct Rest {
+    coroutine: std::sync::OnceLock<may::coroutine::Coroutine>,
+}
+
+impl Rest {
+    /// Rests, at most this long. Only one coroutine may rest here, always the same.
+    pub fn rest(&self, span: Duration) {
+        self.coroutine.get_or_init(may::coroutine::current);
+        may::coroutine::park_timeout(span);
+    }
+
+    /// Ends the rest, or the next one where there is none now.
+    pub fn wake(&self) {
+        if let Some(coroutine) = self.coroutine.get() {
+            coroutine.unpark();
+        }
+    }
+}
--- /dev/null
+++ b/crates/snowfield/src/hosts.rs
@@ -0,0 +1,66 @@
+//! Discovery's names and addresses as the numbers that the module uses.
+
+use destination::Place;
+use dewproxy::interface::{BackendEntry, State};
+use settings::{Config, HostList};
+use std::collections::HashMap;
+
+/// Numbers for the ids of destinations, each kept for good: one that restarts is the same.
+#[derive(Debug, Default)]
+pub struct Hosts {
+    numbers: HashMap<String, u32>,
+    zones: Vec<String>,
+    kinds: Vec<String>,
+}
+
+impl Hosts {
+    /// Starts with the zones and kinds of the settings.
+    pub fn new(config: &Config) -> Self {
+        Self { zones: config.zones.clone(), kinds: config.kinds.clone(), ..Self::default() }
+    }
+
+    /// A list as the module and the pools take it. An entry that cannot be used is left out and logged.
+    pub fn translate(&mut self, list: HostList) -> (Vec<BackendEntry>, Vec<Place>) {
+        let (mut entries, mut places) = (Vec::new(), Vec::new());
+        for host in list.targets {
+            let state = match host.state.as_str() {
+                "up" => State::Ready,
+                "draining" => State::Draining,
+                "removed" => State::Gone,
+                other => {
+                    println!("discovery: {} has the unknown state {other:?}; taken as draining", host.uid);
+                    State::Draining
+                }
+            };
+            let address = match host.endpoint.parse() {
+                Ok(address) => address,
+                Err(_) if state == State::Gone => ([127, 0, 0, 1], 0).into(),
+                Err(_) => {
+                    println!("discovery: {} has no usable address {:?}; left out", host.uid, host.endpoint);
+                    continue;
+                }
+            };
+            let next = self.numbers.len() as u32 + 1;
+            let id = *self.numbers.entry(host.uid).or_insert(next);
+            let started = host.boot_ms.saturating_mul(1000);
+            places.push(Place { id, address, state, started });
+            entries.push(BackendEntry {
+                id,
+                zone: position(&mut self.zones, host.az).min(255) as u8,
+                kind: position(&mut self.kinds, host.model).min(65_535) as u16,
+                cell: host.pod_group,
+                state,
+                size: host.capacity_hint,
+                started,
+            });
+        }
+        (entries, places)
+    }
+}
+
+fn position(names: &mut Vec<String>, name: String) -> usize {
+    names.iter().position(|n| *n == name).unwrap_or_else(|| {
+        names.push(name);
+        names.len() - 1
+    })
+}
--- /dev/null
+++ b/crates/snowfield/src/main.rs
@@ -0,0 +1,16 @@
+//! The gatekeeper: wires the parts, answers signals and writes the log.
+
+mod hosts;
+mod platform;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    match platform::run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(text) => {
+            eprintln!("snowfield: {text}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/snowfield/src/platform.rs
@@ -0,0 +1,119 @@
+//! One gatekeeper on the platform: its configuration, the RESP2 front, discovery and the counter.
+
+use crate::hosts::Hosts;
+use counter::CounterClient;
+use destination::{Limits, Pools, RespDestination};
+use dewproxy::interface::ListKind;
+use discovery::Watch;
+use exchange::{Clock, Exchange};
+use front_resp::{Front, Names};
+use link::{Door, Rest, spawn, spawn_with};
+use settings::Config;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Descriptors kept for the listener, discovery, the counter, `may` and the standard streams.
+const SPARE_SOCKETS: usize = 64;
+/// After SIGTERM new connections still come for up to 0.4 s.
+const OVERLAP: Duration = Duration::from_millis(500);
+/// Past the longest deadline nothing can be unanswered.
+const LAST_CALL: Duration = Duration::from_millis(300);
+
+/// Reads the configuration, serves until a signal, and answers what was taken.
+///
+/// # Errors
+///
+/// The text says what is missing or cannot be used.
+pub fn run() -> Result<(), String> {
+    let path = std::env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG names no configuration file")?;
+    let mut json = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
+    let config = settings::parse(&mut json).map_err(|e| format!("{path}: {e}"))?;
+    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(|e| format!("signals: {e}"))?;
+    link::set_up();
+    let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+    let (front, door) = start(config)?;
+    let signal = signals.forever().next();
+    println!("signal {}: serving the overlap, then finishing", signal.unwrap_or(0));
+    std::thread::sleep(OVERLAP);
+    door.shut();
+    // In a coroutine, so that no front socket is amid a read.
+    let closing = front.clone();
+    spawn(move || closing.close());
+    let begun = Instant::now();
+    let last = Duration::from_micros(longest) + LAST_CALL;
+    std::thread::sleep(Duration::from_millis(20));
+    while front.open() > 0 && begun.elapsed() < last {
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    println!("stopped with {} front sockets open", front.open());
+    Ok(())
+}
+
+fn start(config: Config) -> Result<(Arc<Front>, Arc<Door>), String> {
+    let clock = Clock::start();
+    let sockets = config.sockets.saturating_sub(SPARE_SOCKETS).max(16);
+    let limits = Limits {
+        connect: Duration::from_micros(config.settings.connect_timeout),
+        idle: Duration::from_micros(config.keepalive / 2),
+        connections: sockets / 2,
+        answer: resp::LARGEST_MESSAGE,
+    };
+    let columns = config.settings.report.clone();
+    let names = Names { classes: config.classes.clone(), plans: config.plans.clone() };
+    let exchange = Exchange::new(config.settings.clone(), config.seed, clock).map_err(|e| e.to_string())?;
+    let pools = Pools::new(RespDestination { columns }, limits);
+    pools.connect(exchange.clone());
+    let counter = config.counter.map(|at| CounterClient::of(at, exchange.clone()));
+    let rest = Arc::new(Rest::default());
+    let wake = rest.clone();
+    let calls = counter.clone().map(|c| c as Arc<dyn exchange::QuotaCounter>);
+    exchange.connect(pools.clone(), calls, Box::new(move || wake.wake()));
+
+    let hosts = Arc::new(Mutex::new(Hosts::new(&config)));
+    let rev = config.known.rev;
+    let (entries, places) = link::locked(&hosts).translate(config.known);
+    println!("{}: {} destinations known, version {rev}", config.name, places.len());
+    pools.listed(ListKind::Cached, &places);
+    exchange.listed(ListKind::Cached, entries);
+
+    let timers = exchange.clone();
+    spawn(move || {
+        loop {
+            let next = timers.run_due().unwrap_or(1_000_000);
+            if next > 0 {
+                rest.rest(Duration::from_micros(next.min(1_000_000)));
+            }
+        }
+    });
+    let watch = Watch::new(config.discovery);
+    let (watching, told_pools, told) = (watch.clone(), pools.clone(), exchange.clone());
+    spawn_with(link::LARGE_STACK, move || {
+        watching.run(rev, |list| {
+            let kind = if list.all { ListKind::Full } else { ListKind::Changes };
+            let (entries, places) = link::locked(&hosts).translate(list);
+            told_pools.listed(kind, &places);
+            told.listed(kind, entries);
+        });
+    });
+    spawn(move || {
+        loop {
+            link::sleep(Duration::from_millis(500));
+            pools.sweep();
+            watch.sweep();
+            if let Some(counter) = &counter {
+                counter.sweep();
+            }
+        }
+    });
+
+    let door = Door::open(config.listen).map_err(|e| format!("{}: {e}", config.listen))?;
+    let door = Arc::new(door);
+    let front = Front::new(exchange, names, sockets / 2);
+    front.set_ready();
+    println!("{}: serving on {}", config.name, config.listen);
+    let (accepting, entrance) = (front.clone(), door.clone());
+    spawn(move || accepting.run(&entrance));
+    Ok((front, door))
+}
