--- a/crates/counter/src/lib.rs
+++ b/crates/counter/src/lib.rs
@@ -100,24 +100,24 @@
     }
 
     fn write(&self, connection: &Connection, call: CounterCall) {
-        if locked(&connection.out).len() >= MOST_OUT {
-            return (self.told)(call.id, Outcome::ConnectFailed, 0.0);
-        }
         let mut bytes = Vec::with_capacity(96);
         let (name, add) = (format!("{:016x}", call.name), call.add.to_string());
         let keep = (call.keep / 1000).clamp(1, 60_000 as Micros).to_string();
         resp::put_command(&mut bytes, &[b"TALLY", name.as_bytes(), add.as_bytes(), keep.as_bytes()]);
-        {
+        let written = {
+            // Held while the bytes go out: calls must be queued in the order in which they are written.
             let mut out = locked(&connection.out);
             if out.is_empty() {
                 *locked(&connection.heard) = Instant::now();
             }
-            out.push_back(call.id);
-        }
-        if connection.link.send(&bytes).is_err() {
+            let written = out.len() < MOST_OUT && connection.link.send(&bytes).is_ok();
+            if written {
+                out.push_back(call.id);
+            }
+            written
+        };
+        if !written {
             // Nothing of this call was written: it was not added.
-            locked(&connection.out).pop_back();
-            connection.link.close();
             (self.told)(call.id, Outcome::ConnectFailed, 0.0);
         }
     }
--- a/crates/destination/src/lib.rs
+++ b/crates/destination/src/lib.rs
@@ -170,19 +170,21 @@
         locked(&self.state).open
     }
 
-    /// An idle connection on which this step was begun, or where to make a new one; `None` where neither can be had.
-    fn place_for(&self, step: &RouteStep<P::Query>) -> Option<Result<Arc<Connection<P::Query>>, SocketAddr>> {
+    /// An idle connection for this step, or where to make a new one; `None` where neither can be had.
+    fn place_for(
+        &self,
+        step: &RouteStep<P::Query>,
+    ) -> Option<(Option<Arc<Connection<P::Query>>>, SocketAddr)> {
         let mut state = locked(&self.state);
         let table = &mut *state;
         let pool = table.pools.get_mut(&step.destination)?;
+        let address = pool.place.address;
         while let Some((connection, _)) = pool.idle.pop() {
             if !connection.link.is_closed() {
-                *locked(&connection.job) = Some((step.id, step.query.clone()));
                 table.busy.insert(step.id, Busy::On(connection.clone()));
-                return Some(Ok(connection));
+                return Some((Some(connection), address));
             }
         }
-        let address = pool.place.address;
         if table.open >= self.limits.connections {
             // Another destination's idle connection makes room.
             let oldest = table.pools.values_mut().filter(|p| !p.idle.is_empty()).min_by_key(|p| p.idle[0].1);
@@ -190,7 +192,7 @@
         }
         table.open += 1;
         table.busy.insert(step.id, Busy::Connecting);
-        Some(Err(address))
+        Some((None, address))
     }
 
     /// Opens a connection, makes the step on it if it is still wanted, and serves the connection.
@@ -205,7 +207,6 @@
             let wanted = state.busy.remove(&step.id).is_some();
             match &connection {
                 Ok(connection) if wanted && ready => {
-                    *locked(&connection.job) = Some((step.id, step.query.clone()));
                     state.busy.insert(step.id, Busy::On(connection.clone()));
                     None
                 }
@@ -216,7 +217,10 @@
             (Ok(connection), None) => {
                 let time_left = step.time_left.saturating_sub(begun.elapsed().as_micros() as Micros);
                 if self.begin(&connection, &step, to, time_left).is_err() {
-                    self.broke(&connection, Outcome::ConnectFailed);
+                    connection.link.close();
+                    if locked(&self.state).busy.remove(&step.id).is_some() {
+                        self.exchange().step_ended(step.id, StepEnd::plain(Outcome::ConnectFailed));
+                    }
                 }
                 self.serve(step.destination, &connection);
             }
@@ -238,16 +242,21 @@
         }
     }
 
+    /// Writes the request of a step. Where nothing could be written, the connection carries nothing.
     fn begin(
         &self,
         connection: &Connection<P::Query>,
         step: &RouteStep<P::Query>,
         to: SocketAddr,
         time_left: Micros,
-    ) -> std::io::Result<bool> {
+    ) -> std::io::Result<()> {
         let mut bytes = Vec::with_capacity(512);
         self.protocol.write(&step.query, to, time_left, &mut bytes);
-        connection.link.send(&bytes)
+        // Held while the bytes go out, so that the reader finds either no job or one that was begun.
+        let mut job = locked(&connection.job);
+        connection.link.send(&bytes)?;
+        *job = Some((step.id, step.query.clone()));
+        Ok(())
     }
 
     /// Reads answers until the connection ends.
@@ -255,7 +264,7 @@
         let mut buffer = Vec::new();
         loop {
             let incoming = connection.link.receive(&mut buffer, READ);
-            let end = !matches!(incoming, Ok(Incoming::Bytes(_)));
+            let end = !matches!(incoming, Ok(Incoming::Bytes(_) | Incoming::Woken));
             let job = locked(&connection.job).clone();
             let Some((id, query)) = job else {
                 // Nothing was asked: the destination has closed, or speaks out of turn.
@@ -265,9 +274,10 @@
                 if incoming.is_err() { Reading::More } else { self.protocol.read(&query, &buffer, end) };
             match reading {
                 Reading::Whole { used, keep, end: step_end } => {
-                    locked(&self.state).busy.remove(&id);
+                    let wanted = locked(&self.state).busy.remove(&id).is_some();
                     *locked(&connection.job) = None;
-                    let keep = keep && !end && used == buffer.len() && connection.link.unsent() == 0;
+                    let keep =
+                        wanted && keep && !end && used == buffer.len() && connection.link.unsent() == 0;
                     buffer.clear();
                     if buffer.capacity() > KEPT_BUFFER {
                         buffer = Vec::new();
@@ -323,22 +333,19 @@
     fn start(&self, step: RouteStep<P::Query>) {
         loop {
             match self.place_for(&step) {
-                Some(Ok(connection)) => {
-                    let to = locked(&self.state).pools.get(&step.destination).map(|p| p.place.address);
-                    let Some(to) = to else { continue };
-                    match self.begin(&connection, &step, to, step.time_left) {
-                        Ok(_) => return,
-                        // It broke before anything was written, so the step never ran and another may carry it.
-                        Err(_) => {
-                            *locked(&connection.job) = None;
-                            locked(&self.state).busy.remove(&step.id);
-                            connection.link.close();
-                        }
+                Some((Some(connection), to)) => {
+                    if self.begin(&connection, &step, to, step.time_left).is_ok() {
+                        return;
+                    }
+                    // It broke before anything was written, so the step never ran and another may carry it.
+                    connection.link.close();
+                    if locked(&self.state).busy.remove(&step.id).is_none() {
+                        return;
                     }
                 }
-                Some(Err(address)) => {
+                Some((None, to)) => {
                     if let Some(me) = self.me.upgrade() {
-                        spawn(move || me.run_connection(step, address));
+                        spawn(move || me.run_connection(step, to));
                     }
                     return;
                 }
@@ -347,7 +354,7 @@
         }
     }
 
-    fn give_up(&self, step: StepId, _destination: u32) {
+    fn give_up(&self, step: StepId) {
         let busy = locked(&self.state).busy.remove(&step);
         if let Some(Busy::On(connection)) = busy {
             *locked(&connection.job) = None;
--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -73,7 +73,7 @@
         let mut chunks = Chunks::default();
         loop {
             match link.receive(&mut raw, 16 * 1024) {
-                Ok(Incoming::Bytes(_)) => {}
+                Ok(Incoming::Bytes(_) | Incoming::Woken) => {}
                 Ok(Incoming::End) => return "the agent closed it".into(),
                 Err(error) => return error.to_string(),
             }
--- a/crates/exchange/src/core.rs
+++ b/crates/exchange/src/core.rs
@@ -12,7 +12,7 @@
 /// What is to be done once the lock is free, in order.
 pub(crate) enum Effect<Q, A> {
     Start(RouteStep<Q>),
-    GiveUp(StepId, u32),
+    GiveUp(StepId),
     Answer(Reply<A>, FinalAnswer<A>),
     Call(CounterCall),
     Log(String),
@@ -30,6 +30,8 @@
     /// Taken when the final answer is given or the client leaves.
     reply: Option<Reply<A>>,
     deadline: Micros,
+    units: f64,
+    account: Option<u32>,
     steps: Vec<Step>,
     last: Option<Outcome>,
 }
@@ -49,6 +51,8 @@
     pub answers: [u64; 3],
     /// Units of the operations that were sent on, once each.
     pub units_sent: f64,
+    /// Those units by account.
+    pub accounts: BTreeMap<u32, f64>,
     /// Calls made to the counter.
     pub calls: u64,
     /// By destination: its state and its steps out.
@@ -64,8 +68,10 @@
     next_operation: OperationId,
     calls: HashMap<u64, (u64, Micros)>,
     next_call: u64,
-    units: HashMap<OperationId, f64>,
     status: Status,
+    pub(crate) effects: VecDeque<Effect<Q, A>>,
+    /// Someone is carrying out effects.
+    pub(crate) performing: bool,
     queue: VecDeque<Event>,
     actions: Vec<Action>,
     pub(crate) timers: Timers,
@@ -73,8 +79,6 @@
     pub(crate) awake_at: Option<Micros>,
 }
 
-type Effects<Q, A> = Vec<Effect<Q, A>>;
-
 impl<Q, A> Core<Q, A> {
     pub(crate) fn new(settings: Settings, seed: u64, now: Micros) -> Result<Self, SettingsError> {
         let (max_attempts, counter_wait, tick) =
@@ -88,8 +92,9 @@
             next_operation: 0,
             calls: HashMap::new(),
             next_call: 0,
-            units: HashMap::new(),
             status: Status::default(),
+            effects: VecDeque::new(),
+            performing: false,
             queue: VecDeque::new(),
             actions: Vec::new(),
             timers: Timers::default(),
@@ -97,63 +102,53 @@
         })
     }
 
-    pub(crate) fn submit(
-        &mut self,
-        now: Micros,
-        operation: Operation<Q>,
-        reply: Reply<A>,
-        effects: &mut Effects<Q, A>,
-    ) -> OperationId {
+    pub(crate) fn submit(&mut self, now: Micros, operation: Operation<Q>, reply: Reply<A>) -> OperationId {
         while self.operations.contains_key(&self.next_operation) {
             self.next_operation = self.next_operation.wrapping_add(1);
         }
         let id = self.next_operation;
         self.next_operation = id.wrapping_add(1);
-        let Operation { class, plan, customer, time_left, set_size, units, repeat, query } = operation;
+        let Operation { class, plan, customer, time_left, set_size, units, repeat, account, query } =
+            operation;
         let deadline = now.saturating_add(time_left);
-        let entry =
-            Entry { query: Arc::new(query), reply: Some(reply), deadline, steps: Vec::new(), last: None };
+        let (query, reply, steps) = (Arc::new(query), Some(reply), Vec::new());
+        let entry = Entry { query, reply, deadline, units, account, steps, last: None };
         self.operations.insert(id, entry);
-        self.units.insert(id, units);
         self.timers.set(deadline, Due::Deadline(id));
-        self.feed(
-            now,
-            Event::Request { id, class, plan, customer, time_left, set_size, units, repeat },
-            effects,
-        );
+        self.feed(now, Event::Request { id, class, plan, customer, time_left, set_size, units, repeat });
         id
     }
 
     /// Hands one event to the module and carries out what it asks for; what follows from that at once is fed too.
-    pub(crate) fn feed(&mut self, now: Micros, event: Event, effects: &mut Effects<Q, A>) {
+    pub(crate) fn feed(&mut self, now: Micros, event: Event) {
         self.queue.push_back(event);
-        self.run_queue(now, effects);
+        self.run_queue(now);
     }
 
-    fn run_queue(&mut self, now: Micros, effects: &mut Effects<Q, A>) {
+    fn run_queue(&mut self, now: Micros) {
         while let Some(event) = self.queue.pop_front() {
             let mut actions = std::mem::take(&mut self.actions);
             self.gateway.handle(now, event, &mut actions);
             for action in actions.drain(..) {
-                self.carry_out(now, action, effects);
+                self.carry_out(now, action);
             }
             self.actions = actions;
         }
     }
 
-    fn carry_out(&mut self, now: Micros, action: Action, effects: &mut Effects<Q, A>) {
+    fn carry_out(&mut self, now: Micros, action: Action) {
         match action {
-            Action::Send { id, backend, timeout } => self.send(now, id, backend, timeout, effects),
+            Action::Send { id, backend, timeout } => self.send(now, id, backend, timeout),
             Action::Cancel { id, attempt } => {
-                self.end_step(now, StepId { operation: id, attempt }, Outcome::Cancelled, effects);
+                self.end_step(now, StepId { operation: id, attempt }, Outcome::Cancelled);
             }
             Action::Refuse { id, retry_after } => {
                 let why = self.why(now, id);
-                self.answer(id, FinalAnswer::Busy { retry_after, why }, effects);
+                self.answer(id, FinalAnswer::Busy { retry_after, why });
             }
             Action::Fail { id } => {
                 let why = self.why(now, id);
-                self.answer(id, FinalAnswer::Failed(why), effects);
+                self.answer(id, FinalAnswer::Failed(why));
             }
             Action::Timer { after, token } => self.timers.set(now + after, Due::Module(token)),
             Action::Count { name, add, keep } => {
@@ -162,22 +157,15 @@
                 self.status.calls += 1;
                 self.calls.insert(id, (name, now));
                 self.timers.set(now + self.counter_wait, Due::Call(id));
-                effects.push(Effect::Call(CounterCall { id, name, add, keep }));
+                self.effects.push_back(Effect::Call(CounterCall { id, name, add, keep }));
             }
-            Action::Log(text) => effects.push(Effect::Log(text)),
+            Action::Log(text) => self.effects.push_back(Effect::Log(text)),
             // Discovery is watched from the start, and sites with probes are not served.
             Action::Subscribe | Action::Probe { .. } => {}
         }
     }
 
-    fn send(
-        &mut self,
-        now: Micros,
-        id: OperationId,
-        destination: u32,
-        timeout: Micros,
-        effects: &mut Effects<Q, A>,
-    ) {
+    fn send(&mut self, now: Micros, id: OperationId, destination: u32, timeout: Micros) {
         let Some(entry) = self.operations.get_mut(&id) else { return };
         let attempt = entry.steps.len() as u8;
         let step = StepId { operation: id, attempt };
@@ -188,8 +176,11 @@
             self.forget(id);
             return;
         }
-        if let Some(units) = self.units.remove(&id) {
-            self.status.units_sent += units;
+        if attempt == 0 {
+            self.status.units_sent += entry.units;
+            if let Some(account) = entry.account {
+                *self.status.accounts.entry(account).or_insert(0.0) += entry.units;
+            }
         }
         self.status.destinations.entry(destination).or_insert((State::Ready, 0)).1 += 1;
         let mut time_left = entry.deadline - now;
@@ -197,7 +188,7 @@
             time_left = timeout;
             self.timers.set(now + timeout, step.into());
         }
-        effects.push(Effect::Start(RouteStep {
+        self.effects.push_back(Effect::Start(RouteStep {
             id: step,
             destination,
             time_left,
@@ -231,32 +222,25 @@
     }
 
     /// Ends a step from this side.
-    fn end_step(&mut self, now: Micros, id: StepId, outcome: Outcome, effects: &mut Effects<Q, A>) {
+    fn end_step(&mut self, now: Micros, id: StepId, outcome: Outcome) {
         if self.close_step(now, id, outcome, Vec::new()) {
-            let destination = self.operations[&id.operation].steps[usize::from(id.attempt)].destination;
-            effects.push(Effect::GiveUp(id, destination));
+            self.effects.push_back(Effect::GiveUp(id));
         }
     }
 
-    pub(crate) fn step_ended(
-        &mut self,
-        now: Micros,
-        id: StepId,
-        end: StepEnd<A>,
-        effects: &mut Effects<Q, A>,
-    ) {
+    pub(crate) fn step_ended(&mut self, now: Micros, id: StepId, end: StepEnd<A>) {
         if !self.close_step(now, id, end.outcome, end.load) {
             return;
         }
         if let Some(answer) = end.answer.filter(|_| end.outcome == Outcome::Ok) {
-            self.answer(id.operation, FinalAnswer::Served(answer), effects);
+            self.answer(id.operation, FinalAnswer::Served(answer));
         }
-        self.run_queue(now, effects);
+        self.run_queue(now);
         self.forget(id.operation);
     }
 
     /// Gives the one final answer, if none was given.
-    fn answer(&mut self, id: OperationId, answer: FinalAnswer<A>, effects: &mut Effects<Q, A>) {
+    fn answer(&mut self, id: OperationId, answer: FinalAnswer<A>) {
         let Some(reply) = self.operations.get_mut(&id).and_then(|e| e.reply.take()) else { return };
         let kind = match answer {
             FinalAnswer::Served(_) => 0,
@@ -264,7 +248,7 @@
             FinalAnswer::Failed(_) => 2,
         };
         self.status.answers[kind] += 1;
-        effects.push(Effect::Answer(reply, answer));
+        self.effects.push_back(Effect::Answer(reply, answer));
         self.forget(id);
     }
 
@@ -285,64 +269,50 @@
         }
     }
 
-    pub(crate) fn left(&mut self, now: Micros, id: OperationId, effects: &mut Effects<Q, A>) {
+    pub(crate) fn left(&mut self, now: Micros, id: OperationId) {
         let Some(entry) = self.operations.get_mut(&id).filter(|e| !e.is_over()) else { return };
         entry.reply = None;
-        self.feed(now, Event::Left { id }, effects);
-        self.end_open_steps(now, id, Outcome::Cancelled, effects);
+        self.feed(now, Event::Left { id });
+        self.end_open_steps(now, id, Outcome::Cancelled);
         self.forget(id);
     }
 
-    fn end_open_steps(
-        &mut self,
-        now: Micros,
-        id: OperationId,
-        outcome: Outcome,
-        effects: &mut Effects<Q, A>,
-    ) {
+    fn end_open_steps(&mut self, now: Micros, id: OperationId, outcome: Outcome) {
         let steps = self.operations.get(&id).map_or(0, |e| e.steps.len());
         for attempt in 0..steps {
-            self.end_step(now, StepId { operation: id, attempt: attempt as u8 }, outcome, effects);
+            self.end_step(now, StepId { operation: id, attempt: attempt as u8 }, outcome);
         }
-        self.run_queue(now, effects);
+        self.run_queue(now);
     }
 
     /// An operation stays until it is over and all its steps have ended, so that late outcomes find their place.
     fn forget(&mut self, id: OperationId) {
         if self.operations.get(&id).is_some_and(|e| e.is_over() && e.steps.iter().all(|s| !s.open)) {
             self.operations.remove(&id);
-            self.units.remove(&id);
         }
     }
 
-    pub(crate) fn call_ended(
-        &mut self,
-        now: Micros,
-        id: u64,
-        outcome: Outcome,
-        total: f64,
-        effects: &mut Effects<Q, A>,
-    ) {
+    pub(crate) fn call_ended(&mut self, now: Micros, id: u64, outcome: Outcome, total: f64) {
         let Some((name, since)) = self.calls.remove(&id) else { return };
-        self.feed(now, Event::Counted { name, total, elapsed: now - since, outcome }, effects);
+        self.feed(now, Event::Counted { name, total, elapsed: now - since, outcome });
     }
 
-    pub(crate) fn run_due(&mut self, now: Micros, effects: &mut Effects<Q, A>) {
+    pub(crate) fn run_due(&mut self, now: Micros) {
         while let Some(due) = self.timers.pop(now) {
             match due {
-                Due::Module(token) => self.feed(now, Event::Timer { token }, effects),
-                Due::Call(id) => self.call_ended(now, id, Outcome::Timeout, 0.0, effects),
+                Due::Module(token) => self.feed(now, Event::Timer { token }),
+                Due::Call(id) => self.call_ended(now, id, Outcome::Timeout, 0.0),
                 Due::Step(operation, attempt) => {
-                    self.end_step(now, StepId { operation, attempt }, Outcome::Timeout, effects);
-                    self.run_queue(now, effects);
+                    self.end_step(now, StepId { operation, attempt }, Outcome::Timeout);
+                    self.run_queue(now);
                     self.forget(operation);
                 }
                 Due::Deadline(id) => {
-                    self.end_open_steps(now, id, Outcome::Timeout, effects);
+                    self.end_open_steps(now, id, Outcome::Timeout);
                     // The module answers before this. Were it ever not to, the operation still gets its answer.
                     if self.operations.get(&id).is_some_and(|e| !e.is_over()) {
-                        self.answer(id, FinalAnswer::Failed(Why::Deadline), effects);
-                        self.feed(now, Event::Left { id }, effects);
+                        self.answer(id, FinalAnswer::Failed(Why::Deadline));
+                        self.feed(now, Event::Left { id });
                     }
                     self.forget(id);
                 }
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -34,6 +34,8 @@
     pub units: f64,
     /// A client's marked repeat.
     pub repeat: bool,
+    /// Where its units are booked in [`Status::accounts`] when it is first sent on.
+    pub account: Option<u32>,
     /// What goes on to a destination.
     pub query: Q,
 }
@@ -115,7 +117,7 @@
     /// Makes an attempt; its end is told with [`Exchange::step_ended`], maybe at once.
     fn start(&self, step: RouteStep<Q>);
     /// Stops waiting for an attempt; its end is not told any more.
-    fn give_up(&self, step: StepId, destination: u32);
+    fn give_up(&self, step: StepId);
 }
 
 /// A call to the quota counter.
@@ -179,49 +181,47 @@
         Ok(Arc::new(Self { clock, core, destinations, counter, waker }))
     }
 
-    /// Names the two sides that carry out what the module asks for, and who is to run the timers when one is set that
-    /// is due before the time that [`Exchange::run_due`] told last.
-    pub fn connect(
-        &self,
-        destinations: Arc<dyn Destinations<Q>>,
-        counter: Option<Arc<dyn QuotaCounter>>,
-        waker: Box<dyn Fn() + Send + Sync>,
-    ) {
+    /// Names the two sides that carry out what the module asks for.
+    pub fn connect(&self, destinations: Arc<dyn Destinations<Q>>, counter: Option<Arc<dyn QuotaCounter>>) {
         // Connected twice, the first stays.
         let _ = self.destinations.set(destinations);
         if let Some(counter) = counter {
             let _ = self.counter.set(counter);
         }
+    }
+
+    /// Names who is to call [`Exchange::run_due`] when a timer is set that is due before the time that it told last.
+    pub fn wake_with(&self, waker: Box<dyn Fn() + Send + Sync>) {
         let _ = self.waker.set(waker);
     }
 
     /// Takes an operation in. `reply` is called once, maybe before this returns, unless the client leaves.
     pub fn submit(&self, operation: Operation<Q>, reply: Reply<A>) -> OperationId {
         let mut id = 0;
-        self.drive(|core, now, effects| id = core.submit(now, operation, reply, effects));
+        self.drive(|core, now| id = core.submit(now, operation, reply));
         id
     }
 
     /// The client of this operation has gone away: it needs no answer, and its steps are given up.
     pub fn left(&self, id: OperationId) {
-        self.drive(|core, now, effects| core.left(now, id, effects));
+        self.drive(|core, now| core.left(now, id));
     }
 
     /// A route step ended. One that was given up, or has ended before, is passed over.
     pub fn step_ended(&self, id: StepId, end: StepEnd<A>) {
-        self.drive(|core, now, effects| core.step_ended(now, id, end, effects));
+        self.drive(|core, now| core.step_ended(now, id, end));
     }
 
     /// A call to the counter ended. One that was given up before is passed over.
     pub fn call_ended(&self, id: u64, outcome: Outcome, total: f64) {
-        self.drive(|core, now, effects| core.call_ended(now, id, outcome, total, effects));
+        self.drive(|core, now| core.call_ended(now, id, outcome, total));
     }
 
     /// News of the destinations.
     pub fn listed(&self, kind: ListKind, entries: Vec<BackendEntry>) {
-        self.drive(|core, now, effects| {
+        self.drive(|core, now| {
             core.note_list(kind, &entries);
-            core.feed(now, Event::Backends { kind, entries }, effects);
+            core.feed(now, Event::Backends { kind, entries });
         });
     }
 
@@ -252,40 +252,58 @@
         })
     }
 
-    /// Changes the core under its lock, then carries out what came of it.
-    fn drive(&self, change: impl FnOnce(&mut core::Core<Q, A>, Micros, &mut Vec<core::Effect<Q, A>>)) {
-        let mut effects = Vec::new();
-        let wake = {
-            let mut core = self.lock();
-            change(&mut core, self.clock.now(), &mut effects);
-            let next = core.timers.next();
-            let wake = next.is_some_and(|at| core.awake_at.is_none_or(|awake| at < awake));
-            if wake {
-                core.awake_at = next;
+    /// Changes the core under its lock, then carries out what came of it. One caller at a time carries out, in order,
+    /// also what others add meanwhile: were two to do so, a step could be given up before it was started.
+    fn drive(&self, change: impl FnOnce(&mut core::Core<Q, A>, Micros)) {
+        let mut core = self.lock();
+        change(&mut core, self.clock.now());
+        let next = core.timers.next();
+        if next.is_some_and(|at| core.awake_at.is_none_or(|awake| at < awake)) {
+            core.awake_at = next;
+            if let Some(waker) = self.waker.get() {
+                waker();
             }
-            wake
-        };
-        if let Some(waker) = self.waker.get().filter(|_| wake) {
-            waker();
         }
-        for effect in effects {
-            match effect {
-                core::Effect::Start(step) => match self.destinations.get() {
-                    Some(side) => side.start(step),
-                    None => self.step_ended(step.id, StepEnd::plain(Outcome::ConnectFailed)),
-                },
-                core::Effect::GiveUp(step, destination) => {
-                    if let Some(side) = self.destinations.get() {
-                        side.give_up(step, destination);
-                    }
+        if std::mem::replace(&mut core.performing, true) {
+            return;
+        }
+        let performing = Performing;
+        while let Some(effect) = core.effects.pop_front() {
+            drop(core);
+            self.perform(effect);
+            core = self.lock();
+        }
+        core.performing = false;
+        std::mem::forget(performing);
+    }
+
+    fn perform(&self, effect: core::Effect<Q, A>) {
+        match effect {
+            core::Effect::Start(step) => match self.destinations.get() {
+                Some(side) => side.start(step),
+                None => self.step_ended(step.id, StepEnd::plain(Outcome::ConnectFailed)),
+            },
+            core::Effect::GiveUp(step) => {
+                if let Some(side) = self.destinations.get() {
+                    side.give_up(step);
                 }
-                core::Effect::Answer(reply, answer) => reply(answer),
-                core::Effect::Call(call) => match self.counter.get() {
-                    Some(counter) => counter.call(call),
-                    None => self.call_ended(call.id, Outcome::ConnectFailed, 0.0),
-                },
-                core::Effect::Log(text) => println!("decisions: {text}"),
             }
+            core::Effect::Answer(reply, answer) => reply(answer),
+            core::Effect::Call(call) => match self.counter.get() {
+                Some(counter) => counter.call(call),
+                None => self.call_ended(call.id, Outcome::ConnectFailed, 0.0),
+            },
+            core::Effect::Log(text) => println!("decisions: {text}"),
         }
     }
 }
+
+/// Dropped only by a panic while effects are carried out: nobody would carry out any more.
+struct Performing;
+
+impl Drop for Performing {
+    fn drop(&mut self) {
+        eprintln!("fatal: a panic while the exchange carried out what was decided");
+        std::process::abort();
+    }
+}
--- a/crates/front_resp/src/lib.rs
+++ b/crates/front_resp/src/lib.rs
@@ -47,6 +47,13 @@
     turns: Mutex<Turns>,
 }
 
+impl FrontSocket {
+    fn between_requests(&self) -> bool {
+        let turns = locked(&self.turns);
+        turns.turns.is_empty() && !turns.partial && self.link.unsent() == 0
+    }
+}
+
 /// Commands in the order in which they came.
 #[derive(Default)]
 struct Turns {
@@ -99,16 +106,11 @@
         }
     }
 
-    /// Closes every front socket as soon as it is between requests. Runs in a coroutine, so that no socket is amid a
-    /// read.
+    /// Closes every front socket as soon as it is between requests.
     pub fn close(&self) {
         self.closing.store(true, Ordering::Release);
         for socket in self.open_sockets() {
-            let turns = locked(&socket.turns);
-            if turns.turns.is_empty() && !turns.partial && socket.link.unsent() == 0 {
-                drop(turns);
-                socket.link.close();
-            }
+            socket.link.wake();
         }
     }
 
@@ -124,7 +126,16 @@
     /// Reads commands until the client leaves.
     fn serve(self: &Arc<Self>, socket: &Arc<FrontSocket>) {
         let mut buffer = Vec::new();
-        while let Ok(Incoming::Bytes(_)) = socket.link.receive(&mut buffer, READ) {
+        loop {
+            match socket.link.receive(&mut buffer, READ) {
+                Ok(Incoming::Bytes(_)) => {}
+                // Only here, between two reads, is it sure that no request has come in unseen.
+                Ok(Incoming::Woken) if self.closing.load(Ordering::Acquire) && socket.between_requests() => {
+                    break;
+                }
+                Ok(Incoming::Woken) => continue,
+                Ok(Incoming::End) | Err(_) => break,
+            }
             let mut at = 0;
             let malformed = loop {
                 match resp::command(&buffer, at) {
@@ -196,16 +207,16 @@
             turns.turns.pop_front();
             turns.first += 1;
         }
-        let idle = turns.turns.is_empty() && !turns.partial;
-        drop(turns);
         if whole.is_empty() || socket.link.is_closed() {
             return;
         }
+        // Sent before the turns are free, so that no later answer overtakes.
         let sent = socket.link.send(&whole);
-        let unread = socket.link.unsent() > MOST_UNREAD;
-        let last = self.closing.load(Ordering::Acquire) && idle && matches!(sent, Ok(true));
-        if sent.is_err() || unread || last {
+        drop(turns);
+        if sent.is_err() || socket.link.unsent() > MOST_UNREAD {
             socket.link.close();
+        } else if self.closing.load(Ordering::Acquire) {
+            socket.link.wake();
         }
     }
 
@@ -264,6 +275,7 @@
             set_size,
             units: units?,
             repeat,
+            account: None,
             query: Query::new(raw.to_vec(), list)?,
         })
     }
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -1,7 +1,7 @@
 //! Coroutines and non-blocking TCP links.
 //!
 //! All sockets of the program are driven by one `may` worker. Each [`Link`] has one coroutine that waits on it; any
-//! other coroutine may queue bytes on it or close it without ever waiting.
+//! other coroutine or thread may queue bytes on it, wake it or close it without ever waiting.
 
 use may::coroutine::{Builder, JoinHandle};
 use may::io::WaitIo;
@@ -40,12 +40,12 @@
 #[allow(unsafe_code)]
 pub fn spawn_with<F: FnOnce() + Send + 'static>(stack: usize, f: F) -> JoinHandle<()> {
     // SAFETY: `may` asks for two things. No coroutine here keeps a reference into thread-local storage over a point
-    // where it waits, and with one worker none ever moves to another thread. Each stack ends in a guard page and is
+    // where it waits, so it may go on in another thread (as it does after a sleep). Each stack ends in a guard page and is
     // far larger than what runs on it: parsers don't recurse, and JSON is read on `LARGE_STACK`.
     unsafe { Builder::new().stack_size(words(stack)).spawn(f) }.expect("memory for a coroutine's stack")
 }
 
-/// Locks a mutex that is held only between two waits, so with one worker it is always free.
+/// Locks a mutex. None is held over a wait, so this takes moments at most.
 ///
 /// A poisoned lock means that the state behind it may be half-changed. Going on could break a rule in silence, so the
 /// program ends; a gatekeeper that starts anew knows what it needs.
@@ -62,6 +62,7 @@
     stream: TcpStream,
     out: Mutex<Outgoing>,
     closed: AtomicBool,
+    woken: AtomicBool,
 }
 
 /// Bytes that the socket has not taken yet.
@@ -78,6 +79,8 @@
     Bytes(usize),
     /// The other side has ended its sending.
     End,
+    /// [`Link::wake`] was called.
+    Woken,
 }
 
 impl Link {
@@ -95,7 +98,7 @@
     pub fn new(stream: TcpStream) -> Self {
         // Without it small answers wait for acknowledgements; where it fails they do, and nothing else is lost.
         let _ = stream.set_nodelay(true);
-        Self { stream, out: Mutex::default(), closed: AtomicBool::new(false) }
+        Self { stream, out: Mutex::default(), closed: AtomicBool::new(false), woken: AtomicBool::new(false) }
     }
 
     /// Writes what the socket takes now and keeps the rest for the coroutine that waits on this link. Tells whether
@@ -156,6 +159,9 @@
                 return Err(ErrorKind::NotConnected.into());
             }
             self.flush()?;
+            if self.woken.swap(false, Ordering::AcqRel) {
+                return Ok(Incoming::Woken);
+            }
             let start = buffer.len();
             buffer.resize(start + most, 0);
             let read = self.stream.inner().read(&mut buffer[start..]);
@@ -172,6 +178,49 @@
         }
     }
 
+    /// Has the link's own coroutine come back from [`Link::receive`] with [`Incoming::Woken`].
+    pub fn wake(&self) {
+        self.woken.store(true, Ordering::Release);
+        self.stream.waker().wakeup();
+    }
+
+    /// Waits for anything to happen on the link, without reading. Only the link's own coroutine calls this.
+    pub fn wait(&self) {
+        if !self.is_closed() && !self.woken.swap(false, Ordering::AcqRel) {
+            self.stream.wait_io();
+        }
+    }
+
+    /// Waits until the system has taken all bytes. Only the link's own coroutine calls this.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke or was closed.
+    pub fn drain(&self) -> io::Result<()> {
+        loop {
+            if self.is_closed() {
+                return Err(ErrorKind::NotConnected.into());
+            }
+            self.flush()?;
+            if self.unsent() == 0 {
+                return Ok(());
+            }
+            self.stream.wait_io();
+        }
+    }
+
+    /// Sends what waits, says that no more will come, and waits for the other side's end, so that an answer is not
+    /// lost where unread bytes would reset the connection. Only the link's own coroutine calls this.
+    pub fn finish(&self) {
+        let mut unread = Vec::new();
+        if self.drain().is_ok() && self.stream.shutdown(Shutdown::Write).is_ok() {
+            while let Ok(Incoming::Bytes(_) | Incoming::Woken) = self.receive(&mut unread, 16 * 1024) {
+                unread.clear();
+            }
+        }
+        self.close();
+    }
+
     /// Ends the connection and wakes its coroutine.
     pub fn close(&self) {
         if !self.closed.swap(true, Ordering::AcqRel) {
@@ -230,28 +279,8 @@
     }
 }
 
-/// Lets other coroutines run for this long.
+/// Lets other coroutines run for this long. The coroutine may go on in `may`'s timer thread until it next waits, which
+/// is why all shared state is behind locks.
 pub fn sleep(span: Duration) {
     may::coroutine::sleep(span);
 }
-
-/// Puts a coroutine to rest until it is woken or a span is over.
-#[derive(Debug, Default)]
-pub struct Rest {
-    coroutine: std::sync::OnceLock<may::coroutine::Coroutine>,
-}
-
-impl Rest {
-    /// Rests, at most this long. Only one coroutine may rest here, always the same.
-    pub fn rest(&self, span: Duration) {
-        self.coroutine.get_or_init(may::coroutine::current);
-        may::coroutine::park_timeout(span);
-    }
-
-    /// Ends the rest, or the next one where there is none now.
-    pub fn wake(&self) {
-        if let Some(coroutine) = self.coroutine.get() {
-            coroutine.unpark();
-        }
-    }
-}
--- a/crates/snowfield/src/main.rs
+++ b/crates/snowfield/src/main.rs
@@ -1,5 +1,6 @@
 //! The gatekeeper: wires the parts, answers signals and writes the log.
 
+mod clock;
 mod hosts;
 mod platform;
 
--- a/crates/snowfield/src/platform.rs
+++ b/crates/snowfield/src/platform.rs
@@ -7,7 +7,7 @@
 use discovery::Watch;
 use exchange::{Clock, Exchange};
 use front_resp::{Front, Names};
-use link::{Door, Rest, spawn, spawn_with};
+use link::{Door, spawn, spawn_with};
 use settings::Config;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -38,12 +38,9 @@
     println!("signal {}: serving the overlap, then finishing", signal.unwrap_or(0));
     std::thread::sleep(OVERLAP);
     door.shut();
-    // In a coroutine, so that no front socket is amid a read.
-    let closing = front.clone();
-    spawn(move || closing.close());
+    front.close();
     let begun = Instant::now();
     let last = Duration::from_micros(longest) + LAST_CALL;
-    std::thread::sleep(Duration::from_millis(20));
     while front.open() > 0 && begun.elapsed() < last {
         std::thread::sleep(Duration::from_millis(10));
     }
@@ -66,10 +63,8 @@
     let pools = Pools::new(RespDestination { columns }, limits);
     pools.connect(exchange.clone());
     let counter = config.counter.map(|at| CounterClient::of(at, exchange.clone()));
-    let rest = Arc::new(Rest::default());
-    let wake = rest.clone();
     let calls = counter.clone().map(|c| c as Arc<dyn exchange::QuotaCounter>);
-    exchange.connect(pools.clone(), calls, Box::new(move || wake.wake()));
+    exchange.connect(pools.clone(), calls);
 
     let hosts = Arc::new(Mutex::new(Hosts::new(&config)));
     let rev = config.known.rev;
@@ -78,15 +73,6 @@
     pools.listed(ListKind::Cached, &places);
     exchange.listed(ListKind::Cached, entries);
 
-    let timers = exchange.clone();
-    spawn(move || {
-        loop {
-            let next = timers.run_due().unwrap_or(1_000_000);
-            if next > 0 {
-                rest.rest(Duration::from_micros(next.min(1_000_000)));
-            }
-        }
-    });
     let watch = Watch::new(config.discovery);
     let (watching, told_pools, told) = (watch.clone(), pools.clone(), exchange.clone());
     spawn_with(link::LARGE_STACK, move || {
@@ -97,14 +83,11 @@
             told.listed(kind, entries);
         });
     });
-    spawn(move || {
-        loop {
-            link::sleep(Duration::from_millis(500));
-            pools.sweep();
-            watch.sweep();
-            if let Some(counter) = &counter {
-                counter.sweep();
-            }
+    crate::clock::run(exchange.clone(), move || {
+        pools.sweep();
+        watch.sweep();
+        if let Some(counter) = &counter {
+            counter.sweep();
         }
     });
 
@@ -112,7 +95,7 @@
     let door = Arc::new(door);
     let front = Front::new(exchange, names, sockets / 2);
     front.set_ready();
-    println!("{}: serving on {}", config.name, config.listen);
+    println!("{}: serving on {}", config.name, door.address().map_err(|e| e.to_string())?);
     let (accepting, entrance) = (front.clone(), door.clone());
     spawn(move || accepting.run(&entrance));
     Ok((front, door))
--- /dev/null
+++ b/crates/snowfield/tests/common/mod.rs
@@ -0,0 +1,358 @@
+//! The program under test and stand-ins for what it speaks to. Everything is synchronised by messages, never by sleep.
+#![allow(dead_code)]
+
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Longer than anything here may take; a test that waits so long has failed.
+pub const LONG: Duration = Duration::from_secs(20);
+
+/// Waits for a message, or fails the test.
+pub fn next<T>(from: &Receiver<T>) -> T {
+    from.recv_timeout(LONG).expect("it came in time")
+}
+
+/// The program, killed at the end.
+pub struct Program {
+    child: Child,
+    lines: Receiver<String>,
+}
+
+impl Program {
+    pub fn start(arguments: &[&str], variables: &[(&str, &str)]) -> Self {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_snowfield"))
+            .args(arguments)
+            .envs(variables.iter().copied())
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let (told, lines) = channel();
+        let out = BufReader::new(child.stdout.take().expect("a pipe"));
+        std::thread::spawn(move || out.lines().map_while(Result::ok).all(|line| told.send(line).is_ok()));
+        Self { child, lines }
+    }
+
+    /// The rest of the first log line from now on that holds this text.
+    pub fn logged(&self, text: &str) -> String {
+        loop {
+            let line = next(&self.lines);
+            if let Some((_, rest)) = line.split_once(text) {
+                return rest.to_owned();
+            }
+        }
+    }
+
+    pub fn terminate(&self) {
+        let done = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+        assert!(done.expect("kill runs").success());
+    }
+
+    /// The exit code.
+    pub fn wait(&mut self) -> Option<i32> {
+        self.child.wait().expect("it was started").code()
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Runs the program to its end: whether it succeeded, and all that it wrote.
+pub fn run(arguments: &[&str], variables: &[(&str, &str)]) -> (bool, String) {
+    let out = Command::new(env!("CARGO_BIN_EXE_snowfield"))
+        .args(arguments)
+        .envs(variables.iter().copied())
+        .output()
+        .expect("the program runs");
+    let text = String::from_utf8_lossy(&out.stdout).into_owned() + &String::from_utf8_lossy(&out.stderr);
+    (out.status.success(), text)
+}
+
+/// A folder for one test's files.
+pub struct Folder(pub PathBuf);
+
+impl Folder {
+    pub fn new(test: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("snowfield-{test}-{}", std::process::id()));
+        std::fs::create_dir_all(&path).expect("a folder for files");
+        Self(path)
+    }
+
+    pub fn write(&self, name: &str, text: &str) -> String {
+        let path = self.0.join(name);
+        std::fs::write(&path, text).expect("a file is written");
+        path.to_str().expect("a path in UTF-8").to_owned()
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// Listens on a free loopback port and serves each connection in a thread.
+pub fn listen(serve: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let serve = Arc::new(serve);
+    std::thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let serve = serve.clone();
+            std::thread::spawn(move || serve(stream));
+        }
+    });
+    address
+}
+
+/// An address on which nobody listens.
+pub fn nobody() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port")
+}
+
+fn line(from: &mut impl BufRead) -> Option<String> {
+    let mut text = String::new();
+    (from.read_line(&mut text).ok()? > 0).then(|| text.trim_end().to_owned())
+}
+
+/// Reads one RESP2 command.
+pub fn command(from: &mut impl BufRead) -> Option<Vec<String>> {
+    let count: usize = line(from)?.strip_prefix('*')?.parse().ok()?;
+    (0..count)
+        .map(|_| {
+            let length: usize = line(from)?.strip_prefix('$')?.parse().ok()?;
+            let mut bytes = vec![0; length + 2];
+            from.read_exact(&mut bytes).ok()?;
+            bytes.truncate(length);
+            String::from_utf8(bytes).ok()
+        })
+        .collect()
+}
+
+/// One RESP2 command.
+pub fn words(words: &[&str]) -> Vec<u8> {
+    let items: String = words.iter().map(|w| format!("${}\r\n{w}\r\n", w.len())).collect();
+    format!("*{}\r\n{items}", words.len()).into_bytes()
+}
+
+/// What a stand-in of a destination does with a request.
+pub enum Does {
+    Say(Vec<u8>),
+    /// Waits for a word, then says this.
+    SayAfter(Receiver<()>, Vec<u8>),
+    Close,
+    Nothing,
+}
+
+/// What a stand-in has seen.
+#[derive(Debug)]
+pub enum Seen<T> {
+    Asked(T),
+    /// A connection on which nothing was under way has ended.
+    Ended,
+    /// A connection has ended before its request was answered.
+    GivenUp,
+}
+
+/// A stand-in of a destination: reads requests with `read`, asks `act` what to do, and tells what it has seen.
+pub fn destination<T: Clone + Send + 'static>(
+    read: fn(&mut BufReader<TcpStream>) -> Option<T>,
+    act: impl Fn(&T) -> Does + Send + Sync + 'static,
+) -> (SocketAddr, Receiver<Seen<T>>) {
+    let (tell, seen) = channel();
+    let tell = Mutex::new(tell);
+    let address = listen(move |stream| {
+        let tell = tell.lock().expect("no stand-in panics").clone();
+        let mut answers = stream.try_clone().expect("a second handle");
+        let mut requests = BufReader::new(stream);
+        while let Some(request) = read(&mut requests) {
+            let _ = tell.send(Seen::Asked(request.clone()));
+            match act(&request) {
+                Does::Say(bytes) => drop(answers.write_all(&bytes)),
+                Does::SayAfter(word, bytes) => {
+                    let _ = word.recv();
+                    let _ = answers.write_all(&bytes);
+                }
+                Does::Close => return,
+                Does::Nothing => {
+                    let _ = read(&mut requests);
+                    let _ = tell.send(Seen::GivenUp);
+                    return;
+                }
+            }
+        }
+        let _ = tell.send(Seen::Ended);
+    });
+    (address, seen)
+}
+
+/// The next request that a stand-in got.
+pub fn asked<T>(seen: &Receiver<Seen<T>>) -> T {
+    loop {
+        if let Seen::Asked(request) = next(seen) {
+            return request;
+        }
+    }
+}
+
+/// Requests that a stand-in got so far.
+pub fn all_asked<T>(seen: &Receiver<Seen<T>>) -> Vec<T> {
+    seen.try_iter().filter_map(|s| if let Seen::Asked(request) = s { Some(request) } else { None }).collect()
+}
+
+/// A stand-in of the counter. Each name starts at `first`; tells each amount that was added.
+pub fn counter(first: f64) -> (SocketAddr, Receiver<(String, f64)>) {
+    let (tell, added) = channel();
+    let shared = Mutex::new((tell, HashMap::<String, f64>::new()));
+    let address = listen(move |stream| {
+        let mut answers = stream.try_clone().expect("a second handle");
+        let mut calls = BufReader::new(stream);
+        while let Some(call) = command(&mut calls) {
+            let [verb, name, amount, _] = &call[..] else { return };
+            assert_eq!(verb, "TALLY");
+            let amount: f64 = amount.parse().expect("a decimal number");
+            let total = {
+                let mut shared = shared.lock().expect("no stand-in panics");
+                let total = shared.1.entry(name.clone()).or_insert(first);
+                *total += amount;
+                let total = total.to_string();
+                let _ = shared.0.send((name.clone(), amount));
+                total
+            };
+            if answers.write_all(format!("${}\r\n{total}\r\n", total.len()).as_bytes()).is_err() {
+                return;
+            }
+        }
+    });
+    (address, added)
+}
+
+/// An HTTP message: its first line, its fields with names in small letters, and its body.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Message {
+    pub first: String,
+    pub fields: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    pub fn field(&self, name: &str) -> Option<&str> {
+        self.fields.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+    }
+
+    pub fn status(&self) -> u16 {
+        self.first.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status line")
+    }
+
+    pub fn target(&self) -> &str {
+        self.first.split(' ').nth(1).expect("a request line")
+    }
+
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+/// Reads one HTTP message with a Content-Length, chunked, or without a body.
+pub fn message(from: &mut BufReader<TcpStream>) -> Option<Message> {
+    let head = message_head(from)?;
+    with_body(from, head)
+}
+
+pub fn message_head(from: &mut BufReader<TcpStream>) -> Option<Message> {
+    let mut message = Message { first: line(from)?, ..Message::default() };
+    loop {
+        let text = line(from)?;
+        let Some((name, value)) = text.split_once(':') else { return Some(message) };
+        message.fields.push((name.to_ascii_lowercase(), value.trim().to_owned()));
+    }
+}
+
+fn with_body(from: &mut BufReader<TcpStream>, mut message: Message) -> Option<Message> {
+    let length = message.field("content-length").map_or(0, |l| l.parse().expect("a length"));
+    message.body = vec![0; length];
+    from.read_exact(&mut message.body).ok()?;
+    Some(message)
+}
+
+/// A client's connection.
+pub struct Client {
+    pub writes: TcpStream,
+    pub reads: BufReader<TcpStream>,
+}
+
+impl Client {
+    pub fn connect(to: SocketAddr) -> Self {
+        let writes = TcpStream::connect(to).expect("the program accepts");
+        writes.set_read_timeout(Some(LONG)).expect("a time-out can be set");
+        let reads = BufReader::new(writes.try_clone().expect("a second handle"));
+        Self { writes, reads }
+    }
+
+    pub fn send(&mut self, bytes: &[u8]) {
+        self.writes.write_all(bytes).expect("the program takes it");
+    }
+
+    /// One line of a RESP2 answer; for a bulk string its value.
+    pub fn reply(&mut self) -> String {
+        let first = line(&mut self.reads).expect("an answer");
+        match first.strip_prefix('$') {
+            Some(_) => line(&mut self.reads).expect("a value"),
+            None => first,
+        }
+    }
+
+    /// Sends an HTTP request and reads its answer.
+    pub fn ask(&mut self, request: &str) -> Message {
+        self.send(request.as_bytes());
+        self.answer()
+    }
+
+    pub fn answer(&mut self) -> Message {
+        message(&mut self.reads).expect("an answer")
+    }
+
+    /// Whether the program ends the connection with nothing more to say.
+    pub fn ended(&mut self) -> bool {
+        matches!(self.reads.read(&mut [0; 1]), Ok(0) | Err(_))
+    }
+}
+
+/// A stand-in of the discovery agent: tells the index of each watch, and writes what it is given as chunks.
+pub struct Agent {
+    pub address: SocketAddr,
+    /// For each watch its request line and where to send lines to it.
+    pub watches: Receiver<(String, Sender<String>)>,
+}
+
+pub fn agent() -> Agent {
+    let (tell, watches) = channel();
+    let tell = Mutex::new(tell);
+    let address = listen(move |stream| {
+        let mut writes = stream.try_clone().expect("a second handle");
+        let mut reads = BufReader::new(stream);
+        let Some(request) = message_head(&mut reads) else { return };
+        let (send, lines) = channel::<String>();
+        if tell.lock().expect("no stand-in panics").send((request.first, send)).is_err() {
+            return;
+        }
+        let _ = writes.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        // Ends with the sender.
+        for line in lines {
+            if writes.write_all(format!("{:x}\r\n{line}\n\r\n", line.len() + 1).as_bytes()).is_err() {
+                return;
+            }
+        }
+        let _ = writes.shutdown(std::net::Shutdown::Both);
+    });
+    Agent { address, watches }
+}
--- /dev/null
+++ b/crates/snowfield/tests/platform.rs
@@ -0,0 +1,348 @@
+//! The program on the platform: started as `run` starts it, spoken to over sockets.
+
+mod common;
+
+use common::*;
+use std::net::SocketAddr;
+use std::sync::mpsc::{Receiver, Sender, channel};
+
+/// One gatekeeper with stand-ins around it.
+struct Site {
+    program: Program,
+    listen: SocketAddr,
+    agent: Agent,
+    /// The watch that the program opened first.
+    watch: Sender<String>,
+    _folder: Folder,
+}
+
+struct Shape<'a> {
+    destinations: &'a [SocketAddr],
+    counter: Option<SocketAddr>,
+    gatekeepers: u32,
+    attempts: u32,
+}
+
+impl Default for Shape<'_> {
+    fn default() -> Self {
+        Self { destinations: &[], counter: None, gatekeepers: 1, attempts: 3 }
+    }
+}
+
+fn host(uid: &str, at: SocketAddr, state: &str) -> String {
+    format!(
+        r#"{{"uid":"{uid}","endpoint":"{at}","az":"z","model":"m","pod_group":0,"state":"{state}","capacity_hint":1.0,"boot_ms":0}}"#
+    )
+}
+
+fn list(rev: u64, all: bool, hosts: &[String]) -> String {
+    format!(r#"{{"rev":{rev},"all":{all},"targets":[{}]}}"#, hosts.join(","))
+}
+
+fn hosts(destinations: &[SocketAddr]) -> Vec<String> {
+    destinations.iter().enumerate().map(|(i, at)| host(&format!("s-{i}"), *at, "up")).collect()
+}
+
+fn config(agent: SocketAddr, shape: &Shape<'_>) -> String {
+    let counter = shape.counter.map_or(String::new(), |at| format!(r#""counter":"{at}","#));
+    let known = list(40, true, &hosts(shape.destinations));
+    format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{agent}","seed":"8c1f30d27a5be964",{counter}
+        "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{known},
+        "settings":{{"balancers":{gatekeepers},"me":0,"tick-us":4000,"zone":0,"localities":["z"],"kinds":["m"],
+        "bounds":{{"cancel":true,"connect-timeout-us":250000,"keepalive-us":30000000,"max-attempts":{attempts},
+        "max-retry-after-us":1000000,"retry-after":true,"second-copies":true}},
+        "classes":[{{"name":"lookup","goal-time-us":600000,"deadline-us":2500000,"effect":"read_like","group":"all"}}],
+        "contracts":[{{"name":"team","per-second":4.0,"depth":8.0}}],
+        "report":{{"columns":["active","waiting","avg_ms"],"how":"inline"}},
+        "specifics":{{"may-count":true,"count-wait-us":30000,"largest":8}}}}}}"#,
+        gatekeepers = shape.gatekeepers,
+        attempts = shape.attempts
+    )
+}
+
+fn site(test: &str, shape: &Shape<'_>) -> Site {
+    let (agent, folder) = (agent(), Folder::new(test));
+    let path = folder.write("config.json", &config(agent.address, shape));
+    let program = Program::start(&[], &[("BALANCER_CONFIG", &path)]);
+    let listen = program.logged("serving on ").parse().expect("an address");
+    let (_, watch) = next(&agent.watches);
+    Site { program, listen, agent, watch, _folder: folder }
+}
+
+fn query(id: u32, wait_ms: u32, units: u32) -> Vec<u8> {
+    let fields = format!("c=lookup,t=team,d={wait_ms},units={units},spread=2,first=0");
+    words(&["SVC.QUERY", "00000000b4d65521", &format!("{id:016x}"), &fields])
+}
+
+fn value(text: &str) -> Vec<u8> {
+    format!("*3\r\n${}\r\n{text}\r\n$-1\r\n$34\r\ninflight=7,queue=2,latency_ms=51.0\r\n", text.len())
+        .into_bytes()
+}
+
+/// A destination that serves each request with the id that it came with.
+fn echo() -> (SocketAddr, Receiver<Seen<Vec<String>>>) {
+    destination(command, |words| Does::Say(value(&words[2])))
+}
+
+fn id(number: u32) -> String {
+    format!("{number:016x}")
+}
+
+#[test]
+fn a_request_goes_on_as_it_came_and_its_value_comes_back() {
+    let (at, seen) = echo();
+    let site = site("serve", &Shape { destinations: &[at], ..Shape::default() });
+    let mut client = Client::connect(site.listen);
+    client.send(&words(&["PING"]));
+    assert_eq!(client.reply(), "+PONG");
+    client.send(&query(1, 480, 2));
+    assert_eq!(client.reply(), id(1));
+    let got = asked(&seen);
+    assert_eq!(got[..3], ["SVC.QUERY".to_owned(), "00000000b4d65521".to_owned(), id(1)]);
+    let (before, after) = got[3].split_once(",d=").expect("d stays in its place");
+    let (wait, after) = after.split_once(',').expect("what follows d stays");
+    assert_eq!((before, after), ("c=lookup,t=team", "units=2,spread=2,first=0"));
+    let wait: u32 = wait.parse().expect("milliseconds");
+    assert!((1..480).contains(&wait), "it says how long the gatekeeper will wait: {wait}");
+}
+
+#[test]
+fn other_commands_get_the_answers_of_the_protocol() {
+    let site = site("commands", &Shape::default());
+    let mut client = Client::connect(site.listen);
+    for (ask, answer) in [
+        (&["CLIENT", "SETNAME", "x"][..], "+OK"),
+        (&["SELECT", "0"], "+OK"),
+        (&["HELLO", "3"], "-ERR unknown command"),
+        (&["SVC.QUERY", "00000000b4d65521"], "-ERR too few words"),
+        (
+            &["SVC.QUERY", "b4", "01", "c=lookup,t=nobody,d=9,units=1,spread=1,first=0"],
+            "-ERR malformed request",
+        ),
+        (&["SVC.QUERY", "b4", "01", "c=lookup,t=team,units=1,spread=1,first=0"], "-ERR malformed request"),
+    ] {
+        client.send(&words(ask));
+        assert_eq!(client.reply(), answer, "{ask:?}");
+    }
+}
+
+#[test]
+fn garbage_gets_an_error_and_the_end_and_others_are_served() {
+    let (at, _seen) = echo();
+    let site = site("garbage", &Shape { destinations: &[at], ..Shape::default() });
+    for garbage in [&b"GET / HTTP/1.1\r\n\r\n"[..], b"*1\r\n$99999999\r\n", b"*-5\r\n", b"*1\r\n:5\r\n"] {
+        let mut client = Client::connect(site.listen);
+        client.send(garbage);
+        assert!(client.reply().starts_with("-ERR"), "{garbage:?}");
+        assert!(client.ended());
+    }
+    let mut client = Client::connect(site.listen);
+    client.send(&query(1, 900, 1));
+    assert_eq!(client.reply(), id(1));
+}
+
+#[test]
+fn pipelined_commands_are_answered_in_their_order() {
+    let (release, word) = channel();
+    let word = std::sync::Mutex::new(Some(word));
+    let (at, seen) = destination(command, move |words| {
+        let word = word.lock().expect("no stand-in panics").take();
+        word.map_or(Does::Say(value(&words[2])), |word| Does::SayAfter(word, value(&words[2])))
+    });
+    let site = site("order", &Shape { destinations: &[at], ..Shape::default() });
+    let mut client = Client::connect(site.listen);
+    client.send(&[query(1, 2400, 1), query(2, 2400, 1), words(&["PING"])].concat());
+    // Both are out before the first may be answered; the second one's answer then waits for its turn.
+    asked(&seen);
+    asked(&seen);
+    release.send(()).expect("the stand-in waits");
+    assert_eq!([client.reply(), client.reply(), client.reply()], [id(1), id(2), "+PONG".into()]);
+}
+
+#[test]
+fn a_spent_quota_gets_the_busy_reply_with_advice_at_once() {
+    let (at, seen) = echo();
+    let site = site("quota", &Shape { destinations: &[at], ..Shape::default() });
+    let mut client = Client::connect(site.listen);
+    // A new customer may use the largest request's units, and 4 more in each second.
+    client.send(&query(1, 2400, 8));
+    assert_eq!(client.reply(), id(1));
+    client.send(&query(2, 2400, 8));
+    let reply = client.reply();
+    let advice: u32 = reply.strip_prefix("-BUSY ").expect("a busy reply").parse().expect("milliseconds");
+    assert!((1..=1000).contains(&advice), "within what clients honour: {advice}");
+    assert_eq!(all_asked(&seen).len(), 1, "what is refused is not sent on");
+}
+
+#[test]
+fn the_counter_hears_each_unit_once_and_its_total_empties_the_quota() {
+    let (at, _seen) = echo();
+    let (counter, added) = counter(6.5);
+    let shape = Shape { destinations: &[at], counter: Some(counter), gatekeepers: 2, ..Shape::default() };
+    let site = site("counter", &shape);
+    let mut client = Client::connect(site.listen);
+    client.send(&query(1, 2400, 1));
+    assert_eq!(client.reply(), id(1));
+    let (name, amount) = next(&added);
+    assert_eq!((name.len(), amount), (16, 1.0));
+}
+
+#[test]
+fn without_an_answer_the_busy_reply_comes_before_the_client_gives_up() {
+    let (at, _seen) = destination(command, |_| Does::Nothing);
+    let site = site("deadline", &Shape { destinations: &[at], ..Shape::default() });
+    let mut client = Client::connect(site.listen);
+    let begun = std::time::Instant::now();
+    client.send(&query(1, 400, 1));
+    assert!(client.reply().starts_with("-BUSY"));
+    assert!(begun.elapsed().as_millis() < 400, "{:?}", begun.elapsed());
+}
+
+/// Guards the outcomes: a break after the last byte may have run, a refused connection never ran; either way a class
+/// that is safe to repeat is tried elsewhere.
+#[test]
+fn a_break_after_the_request_and_a_refused_connection_are_tried_elsewhere() {
+    let (breaks, broken) = destination(command, |_| Does::Close);
+    let (serves, _seen) = echo();
+    let site = site("elsewhere", &Shape { destinations: &[breaks, nobody(), serves], ..Shape::default() });
+    let mut client = Client::connect(site.listen);
+    for number in 1..=8 {
+        client.send(&query(number, 2400, 1));
+        assert_eq!(client.reply(), id(number));
+    }
+    let ids: Vec<String> = all_asked(&broken).into_iter().map(|words| words[2].clone()).collect();
+    let mut once = ids.clone();
+    once.dedup();
+    assert_eq!(ids, once, "a break is no reason to send the same request there again");
+}
+
+/// Guards the rule that a reset after the write is told as one: the pool must not resend by itself.
+#[test]
+fn a_pooled_connection_that_its_destination_closed_is_not_used() {
+    let (tell, closed) = channel();
+    let tell = std::sync::Mutex::new(tell);
+    let seen = std::sync::Mutex::new(Vec::new());
+    let at = listen(move |stream| {
+        let mut reads = std::io::BufReader::new(stream.try_clone().expect("a second handle"));
+        let words = command(&mut reads).expect("one request");
+        seen.lock().expect("no stand-in panics").push(words[2].clone());
+        let _ = std::io::Write::write_all(&mut &stream, &value(&words[2]));
+        // One request on each connection, then the end.
+        let _ = stream.shutdown(std::net::Shutdown::Write);
+        // The gatekeeper ends its side when it has seen that.
+        let more = command(&mut reads);
+        let _ = tell.lock().expect("no stand-in panics").send(more);
+    });
+    let site = site("stale", &Shape { destinations: &[at], attempts: 1, ..Shape::default() });
+    let mut client = Client::connect(site.listen);
+    for number in 1..=3 {
+        client.send(&query(number, 2400, 1));
+        assert_eq!(client.reply(), id(number));
+        assert_eq!(next(&closed), None, "nothing more was written to the closed connection");
+    }
+}
+
+#[test]
+fn a_client_that_leaves_ends_its_operation() {
+    let (at, seen) = destination(command, |_| Does::Nothing);
+    let site = site("leaves", &Shape { destinations: &[at], ..Shape::default() });
+    let mut client = Client::connect(site.listen);
+    client.send(&query(1, 2500, 1));
+    asked(&seen);
+    let begun = std::time::Instant::now();
+    drop(client);
+    assert!(matches!(next(&seen), Seen::GivenUp));
+    assert!(begun.elapsed().as_millis() < 2000, "long before its deadline");
+}
+
+#[test]
+fn a_draining_destination_gets_nothing_new_and_a_new_one_is_used() {
+    let (old, old_seen) = echo();
+    let (new, new_seen) = echo();
+    let site = site("drain", &Shape { destinations: &[old], ..Shape::default() });
+    let mut client = Client::connect(site.listen);
+    client.send(&query(1, 2400, 1));
+    assert_eq!(client.reply(), id(1));
+    asked(&old_seen);
+    let changes = [host("s-0", old, "draining"), host("s-new", new, "up")];
+    site.watch.send(list(41, false, &changes)).expect("the watch is open");
+    // It lets go of its idle connection once it has heard.
+    assert!(matches!(next(&old_seen), Seen::Ended));
+    client.send(&query(2, 2400, 1));
+    assert_eq!(client.reply(), id(2));
+    assert_eq!(asked(&new_seen)[2], id(2));
+    assert!(all_asked(&old_seen).is_empty());
+}
+
+#[test]
+fn a_full_list_takes_the_place_of_the_old_one() {
+    let (old, old_seen) = echo();
+    let (new, _new_seen) = echo();
+    let site = site("full", &Shape { destinations: &[old], ..Shape::default() });
+    let mut client = Client::connect(site.listen);
+    client.send(&query(1, 2400, 1));
+    assert_eq!(client.reply(), id(1));
+    site.watch.send(list(50, true, &[host("s-new", new, "up")])).expect("the watch is open");
+    asked(&old_seen);
+    assert!(matches!(next(&old_seen), Seen::Ended));
+    client.send(&query(2, 2400, 1));
+    assert_eq!(client.reply(), id(2));
+    assert!(all_asked(&old_seen).is_empty());
+}
+
+#[test]
+fn a_lost_watch_comes_back_at_the_last_version() {
+    let site = site("watch", &Shape::default());
+    site.watch.send(list(47, false, &[])).expect("the watch is open");
+    drop(site.watch);
+    let (request, _watch) = next(&site.agent.watches);
+    assert_eq!(request, "GET /discovery/hosts?stream=1&index=47 HTTP/1.1");
+}
+
+#[test]
+fn after_sigterm_what_was_taken_is_answered_and_then_the_socket_ends() {
+    let (release, word) = channel();
+    let word = std::sync::Mutex::new(Some(word));
+    let (at, seen) = destination(command, move |words| {
+        let word = word.lock().expect("no stand-in panics").take().expect("one request");
+        Does::SayAfter(word, value(&words[2]))
+    });
+    let mut site = site("sigterm", &Shape { destinations: &[at], ..Shape::default() });
+    let mut idle = Client::connect(site.listen);
+    idle.send(&words(&["PING"]));
+    assert_eq!(idle.reply(), "+PONG");
+    let mut client = Client::connect(site.listen);
+    client.send(&query(1, 2500, 1));
+    asked(&seen);
+    site.program.terminate();
+    site.program.logged("signal 15");
+    // The overlap: sockets stay open and are served, and new ones are taken.
+    for client in [&mut idle, &mut Client::connect(site.listen)] {
+        client.send(&words(&["PING"]));
+        assert_eq!(client.reply(), "+PONG");
+    }
+    assert!(idle.ended(), "closed between requests");
+    release.send(()).expect("the stand-in waits");
+    assert_eq!(client.reply(), id(1));
+    assert!(client.ended());
+    assert_eq!(site.program.wait(), Some(0));
+}
+
+#[test]
+fn a_configuration_that_cannot_be_used_is_told_and_ends_the_program() {
+    let folder = Folder::new("config");
+    for (text, told) in [
+        ("{", "config.json"),
+        (r#"{"name":"n0"}"#, "missing field"),
+        (&config(nobody(), &Shape::default()).replace("127.0.0.1:0", "nowhere"), "listen"),
+        (&config(nobody(), &Shape::default()).replace("read_like", "often"), "often"),
+        (&config(nobody(), &Shape { gatekeepers: 0, ..Shape::default() }), "gateways"),
+    ] {
+        let path = folder.write("config.json", text);
+        let (succeeded, said) = run(&[], &[("BALANCER_CONFIG", &path)]);
+        assert!(!succeeded && said.contains(told), "{told}: {said}");
+    }
+    let (succeeded, said) = run(&[], &[("BALANCER_CONFIG", "/nowhere/config.json")]);
+    assert!(!succeeded && said.contains("/nowhere/config.json"));
+}
