--- a/crates/destination/src/lib.rs
+++ b/crates/destination/src/lib.rs
@@ -104,6 +104,9 @@
     On(Arc<Connection<Q>>),
 }
 
+/// A connection for a step, or none where it must be made, and its destination's address.
+type Carrier<Q> = (Option<Arc<Connection<Q>>>, SocketAddr);
+
 struct Connection<Q> {
     link: Link,
     job: Mutex<Option<(StepId, Arc<Q>)>>,
@@ -171,10 +174,7 @@
     }
 
     /// An idle connection for this step, or where to make a new one; `None` where neither can be had.
-    fn place_for(
-        &self,
-        step: &RouteStep<P::Query>,
-    ) -> Option<(Option<Arc<Connection<P::Query>>>, SocketAddr)> {
+    fn place_for(&self, step: &RouteStep<P::Query>) -> Option<Carrier<P::Query>> {
         let mut state = locked(&self.state);
         let table = &mut *state;
         let pool = table.pools.get_mut(&step.destination)?;
