--- /dev/null
+++ b/crates/destination/src/http.rs
@@ -0,0 +1,38 @@
+//! Destinations that speak HTTP/1.1.
+
+use crate::{Protocol, Reading};
+use ::http::{Answer, Request};
+use dewproxy::interface::{Micros, Outcome};
+use exchange::StepEnd;
+use std::net::SocketAddr;
+
+/// Speaks HTTP/1.1 with destinations. An answer with a status of 500 or above is a failure of its destination: it may
+/// have run, and a class that is safe to repeat is tried elsewhere.
+#[derive(Debug, Default)]
+pub struct HttpDestination;
+
+impl Protocol for HttpDestination {
+    type Query = Request;
+    type Answer = Answer;
+
+    fn write(&self, query: &Request, _to: SocketAddr, _time_left: Micros, out: &mut Vec<u8>) {
+        query.put(out);
+    }
+
+    fn read(&self, query: &Request, buffer: &[u8], end: bool) -> Reading<Answer> {
+        match ::http::answer(buffer, query.is_head, end) {
+            Ok(Some((answer, used, keep))) => {
+                let served = answer.status < 500;
+                let end = StepEnd {
+                    outcome: if served { Outcome::Ok } else { Outcome::Error },
+                    answer: served.then_some(answer),
+                    load: Vec::new(),
+                };
+                Reading::Whole { used, keep, end }
+            }
+            Ok(None) => Reading::More,
+            Err(::http::Refusal::Malformed(text)) => Reading::Malformed(text),
+            Err(_) => Reading::Malformed("an answer passes a limit"),
+        }
+    }
+}
--- a/crates/destination/src/lib.rs
+++ b/crates/destination/src/lib.rs
@@ -12,8 +12,10 @@
 use std::sync::{Arc, Mutex, OnceLock, Weak};
 use std::time::{Duration, Instant};
 
+mod http;
 mod resp;
 
+pub use crate::http::HttpDestination;
 pub use crate::resp::RespDestination;
 
 /// Bytes asked of the system in one read.
--- /dev/null
+++ b/crates/front_openapi/src/lib.rs
@@ -0,0 +1,436 @@
+//! The front whose routes and costs come from OpenAPI descriptions: HTTP/1.1 in, operations out.
+//!
+//! A request's method and path lead to a route, the route to its units and class; a configured header names the lender,
+//! and the file, not the client, names the lender's plan. The exchange decides as it does for every front.
+
+mod problem;
+mod report;
+
+use exchange::{Exchange, FinalAnswer, Operation, Why};
+use http::{Answer, Body, Framing, Refusal, Request, RequestHead};
+use link::{Door, Incoming, Link, locked, spawn};
+use openapi::{Match, RouteTable};
+use problem::Problem;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, Weak};
+use std::time::{Duration, Instant};
+
+pub use report::Tally;
+
+/// Bytes asked of the system in one read.
+const READ: usize = 16 * 1024;
+/// Bytes that a client may send ahead while a request of its is in hand.
+const MOST_AHEAD: usize = 64 * 1024;
+/// A request must be whole, and an answer taken, in this span.
+const PATIENCE: Duration = Duration::from_secs(10);
+/// A front socket that is idle for this long is closed.
+const IDLE: Duration = Duration::from_secs(75);
+/// us; an answer leaves this long before the deadline, for the timers' grain.
+const MARGIN: u64 = 10_000;
+
+/// What this front passes on and gives back.
+pub type HttpExchange = Exchange<Request, Answer>;
+
+/// A lender that may send requests.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Lender {
+    /// Its name, as the header gives it.
+    pub name: String,
+    /// Its customer number.
+    pub customer: u64,
+    /// The number of its plan.
+    pub plan: u32,
+    /// The name of its plan.
+    pub plan_name: String,
+}
+
+/// What the front works by.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// The routes.
+    pub table: RouteTable,
+    /// For each route the number of its class and, in us, its deadline.
+    pub classes: Vec<(u16, u64)>,
+    /// The header that names the lender.
+    pub lender_header: String,
+    /// The lenders.
+    pub lenders: Vec<Lender>,
+    /// How many gatekeepers a lender's requests come through.
+    pub set_size: f64,
+    /// The most bytes of a request's body.
+    pub largest_body: usize,
+    /// The most front sockets.
+    pub most_sockets: usize,
+}
+
+/// The front with all its sockets.
+pub struct Front {
+    exchange: Arc<HttpExchange>,
+    setup: Setup,
+    closing: AtomicBool,
+    sockets: Mutex<Vec<Weak<FrontSocket>>>,
+    tallies: Mutex<Vec<Tally>>,
+}
+
+/// One client's connection.
+struct FrontSocket {
+    link: Link,
+    phase: Mutex<(Phase, Instant)>,
+    /// The request did not become whole in time.
+    late: AtomicBool,
+    answer: Mutex<Option<FinalAnswer<Answer>>>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// Between requests.
+    Idle,
+    /// A request has begun to come in.
+    Reading,
+    /// The exchange has it.
+    Waiting,
+    /// The last answer is on its way.
+    Finishing,
+}
+
+/// Why a front socket serves no more requests.
+enum Stop {
+    /// The client is gone, or there is nothing to say.
+    Gone,
+    /// This is said first.
+    Problem(Problem),
+}
+
+/// A request that is whole.
+struct Whole {
+    bytes: Vec<u8>,
+    head: RequestHead,
+    body: Vec<u8>,
+    admitted: Result<Admitted, Problem>,
+}
+
+/// Who asks for what.
+#[derive(Clone, Copy)]
+struct Admitted {
+    route: usize,
+    lender: usize,
+}
+
+impl FrontSocket {
+    fn enter(&self, phase: Phase) {
+        let mut place = locked(&self.phase);
+        if place.0 != phase {
+            *place = (phase, Instant::now());
+        }
+    }
+}
+
+impl Front {
+    /// A front on this exchange.
+    pub fn new(exchange: Arc<HttpExchange>, setup: Setup) -> Arc<Self> {
+        let tallies = Mutex::new(vec![Tally::default(); setup.table.routes().len()]);
+        Arc::new(Self {
+            exchange,
+            setup,
+            closing: AtomicBool::new(false),
+            sockets: Mutex::default(),
+            tallies,
+        })
+    }
+
+    /// Accepts front sockets until the door is shut; runs in a coroutine.
+    pub fn run(self: &Arc<Self>, door: &Door) {
+        while let Some(link) = door.accept() {
+            let phase = Mutex::new((Phase::Idle, Instant::now()));
+            let (late, answer) = (AtomicBool::new(false), Mutex::new(None));
+            let socket = Arc::new(FrontSocket { link, phase, late, answer });
+            {
+                let mut sockets = locked(&self.sockets);
+                sockets.retain(|s| s.strong_count() > 0);
+                if sockets.len() >= self.setup.most_sockets {
+                    socket.link.close();
+                    continue;
+                }
+                sockets.push(Arc::downgrade(&socket));
+            }
+            let front = self.clone();
+            spawn(move || {
+                front.serve(&socket);
+                socket.link.close();
+            });
+        }
+    }
+
+    /// Closes every front socket as soon as it is between requests.
+    pub fn close(&self) {
+        self.closing.store(true, Ordering::Release);
+        self.open_sockets().iter().for_each(|socket| socket.link.wake());
+    }
+
+    /// Front sockets that are open.
+    pub fn open(&self) -> usize {
+        self.open_sockets().len()
+    }
+
+    /// Ends what takes too long; call it now and then.
+    pub fn sweep(&self) {
+        for socket in self.open_sockets() {
+            let (phase, since) = *locked(&socket.phase);
+            match phase {
+                Phase::Idle if since.elapsed() > IDLE => socket.link.close(),
+                Phase::Reading if since.elapsed() > PATIENCE => {
+                    socket.late.store(true, Ordering::Release);
+                    socket.link.wake();
+                }
+                Phase::Finishing if since.elapsed() > PATIENCE => socket.link.close(),
+                _ => {}
+            }
+        }
+    }
+
+    fn open_sockets(&self) -> Vec<Arc<FrontSocket>> {
+        locked(&self.sockets).iter().filter_map(Weak::upgrade).filter(|s| !s.link.is_closed()).collect()
+    }
+
+    /// Serves one request after another until the client leaves or one cannot be told from the next.
+    fn serve(&self, socket: &Arc<FrontSocket>) {
+        let mut buffer = Vec::new();
+        loop {
+            let stop = match self.receive(socket, &mut buffer) {
+                Ok(whole) => self.answer(socket, &mut buffer, whole),
+                Err(stop) => Some(stop),
+            };
+            match stop {
+                None => {}
+                Some(Stop::Gone) => return,
+                Some(Stop::Problem(problem)) => {
+                    let _ = socket.link.send(&problem.bytes(true, false));
+                    socket.enter(Phase::Finishing);
+                    return socket.link.finish();
+                }
+            }
+        }
+    }
+
+    /// Waits for a whole request. Its route and lender are looked up before its body is taken in.
+    fn receive(&self, socket: &FrontSocket, buffer: &mut Vec<u8>) -> Result<Whole, Stop> {
+        let head = loop {
+            match http::request_head(buffer) {
+                Ok(Some(head)) => break head,
+                Ok(None) => self.more(socket, buffer)?,
+                Err(refusal) => return Err(Stop::Problem(Problem::refused(refusal))),
+            }
+        };
+        socket.enter(Phase::Reading);
+        let bytes: Vec<u8> = buffer.drain(..head.end).collect();
+        let admitted = self.admit(&bytes, &head);
+        if let (Err(problem), true) = (&admitted, head.framing != Framing::Empty) {
+            // The body that follows is not wanted: it ends with the connection.
+            return Err(Stop::Problem(problem.clone()));
+        }
+        let refused = |r| Stop::Problem(Problem::refused(r));
+        let mut body = Body::new(head.framing, self.setup.largest_body).map_err(refused)?;
+        let mut told = !head.expects;
+        while !body.take(buffer).map_err(refused)? {
+            if !told {
+                told = true;
+                let _ = socket.link.send(b"HTTP/1.1 100 Continue\r\n\r\n");
+            }
+            self.more(socket, buffer)?;
+        }
+        Ok(Whole { bytes, head, body: body.bytes, admitted })
+    }
+
+    /// Waits for more bytes of a request.
+    fn more(&self, socket: &FrontSocket, buffer: &mut Vec<u8>) -> Result<(), Stop> {
+        if buffer.is_empty() && locked(&socket.phase).0 != Phase::Reading {
+            if self.closing.load(Ordering::Acquire) {
+                return Err(Stop::Gone);
+            }
+            socket.enter(Phase::Idle);
+        }
+        match socket.link.receive(buffer, READ) {
+            Ok(Incoming::Bytes(_)) => socket.enter(Phase::Reading),
+            Ok(Incoming::Woken) if socket.late.load(Ordering::Acquire) => {
+                return Err(Stop::Problem(Problem::new(
+                    408,
+                    "Request Timeout",
+                    "the request came too slowly",
+                )));
+            }
+            Ok(Incoming::Woken) => {}
+            Ok(Incoming::End) | Err(_) => return Err(Stop::Gone),
+        }
+        Ok(())
+    }
+
+    /// The route and the lender of a request.
+    fn admit(&self, bytes: &[u8], head: &RequestHead) -> Result<Admitted, Problem> {
+        let path = path_of(target_of(bytes, head)?);
+        let method = &bytes[head.method.clone()];
+        let text =
+            |part| std::str::from_utf8(part).map_err(|_| Problem::malformed("the target is not ASCII"));
+        let found = self.setup.table.find(text(method)?, text(path)?);
+        let route = match found.map_err(|e| Problem::malformed(&e.to_string()))? {
+            Match::Route(route) => route,
+            Match::WrongMethod(allowed) => return Err(Problem::wrong_method(&allowed)),
+            Match::Unknown => return Err(Problem::new(404, "Not Found", "no route has this path")),
+        };
+        let header = &self.setup.lender_header;
+        let mut names = http::values(bytes, &head.fields, header);
+        let (Some(name), None) = (names.next(), names.next()) else {
+            return Err(Problem::malformed(&format!("the header {header} must name one lender")));
+        };
+        match self.setup.lenders.iter().position(|l| l.name.as_bytes() == name) {
+            Some(lender) => Ok(Admitted { route, lender }),
+            None => Err(Problem::new(403, "Forbidden", "this lender is not known here")),
+        }
+    }
+
+    /// Has a request answered and writes the answer. Tells whether the socket is done for.
+    fn answer(&self, socket: &Arc<FrontSocket>, buffer: &mut Vec<u8>, whole: Whole) -> Option<Stop> {
+        let Whole { bytes, head, body, admitted } = whole;
+        let is_head = &bytes[head.method.clone()] == b"HEAD";
+        socket.enter(Phase::Waiting);
+        let answer = match admitted {
+            Ok(admitted) => match self.exchange(socket, buffer, &bytes, &head, body, admitted) {
+                Ok(answer) => {
+                    locked(&self.tallies)[admitted.route].count(&answer);
+                    answer
+                }
+                Err(stop) => return Some(stop),
+            },
+            Err(problem) => return self.say(socket, &problem.bytes(!head.keep, is_head), head.keep),
+        };
+        let keep = head.keep && !self.closing.load(Ordering::Acquire);
+        let bytes = match answer {
+            FinalAnswer::Served(answer) => {
+                let mut out = Vec::with_capacity(answer.head.len() + answer.body.len() + 64);
+                answer.put(!keep, &mut out);
+                out
+            }
+            FinalAnswer::Busy { retry_after, why } => {
+                Problem::unserved(why, retry_after).bytes(!keep, is_head)
+            }
+            FinalAnswer::Failed(why) => Problem::unserved(why, 0).bytes(!keep, is_head),
+        };
+        self.say(socket, &bytes, keep)
+    }
+
+    fn say(&self, socket: &FrontSocket, bytes: &[u8], keep: bool) -> Option<Stop> {
+        if socket.link.send(bytes).is_err() {
+            return Some(Stop::Gone);
+        }
+        socket.enter(Phase::Finishing);
+        if keep {
+            // The next request is read when the client has taken this answer, so answers never pile up.
+            if socket.link.drain().is_err() {
+                return Some(Stop::Gone);
+            }
+            socket.enter(Phase::Idle);
+            return None;
+        }
+        socket.link.finish();
+        Some(Stop::Gone)
+    }
+
+    /// Hands a request to the exchange and waits for its final answer, or for the client to leave.
+    fn exchange(
+        &self,
+        socket: &Arc<FrontSocket>,
+        buffer: &mut Vec<u8>,
+        bytes: &[u8],
+        head: &RequestHead,
+        body: Vec<u8>,
+        admitted: Admitted,
+    ) -> Result<FinalAnswer<Answer>, Stop> {
+        let Admitted { route, lender } = admitted;
+        let target = target_of(bytes, head).map_err(Stop::Problem)?;
+        let (class, deadline) = self.setup.classes[route];
+        let who = &self.setup.lenders[lender];
+        let operation = Operation {
+            class,
+            plan: who.plan,
+            customer: who.customer,
+            time_left: deadline.saturating_sub(MARGIN).max(1000),
+            set_size: self.setup.set_size,
+            units: self.setup.table.routes()[route].units,
+            repeat: false,
+            account: Some((route * self.setup.lenders.len() + lender) as u32),
+            query: Request::new(bytes, head, target, body),
+        };
+        let place = socket.clone();
+        let reply = move |answer| {
+            *locked(&place.answer) = Some(answer);
+            place.link.wake();
+        };
+        let id = self.exchange.submit(operation, Box::new(reply));
+        loop {
+            if let Some(answer) = locked(&socket.answer).take() {
+                return Ok(answer);
+            }
+            let gone = if buffer.len() >= MOST_AHEAD {
+                socket.link.wait();
+                socket.link.is_closed()
+            } else {
+                matches!(socket.link.receive(buffer, READ), Ok(Incoming::End) | Err(_))
+            };
+            if gone {
+                self.exchange.left(id);
+                return Err(Stop::Gone);
+            }
+        }
+    }
+}
+
+/// The target in the form with a path; clients may also send it with scheme and authority.
+fn target_of<'a>(bytes: &'a [u8], head: &RequestHead) -> Result<&'a [u8], Problem> {
+    let target = &bytes[head.target.clone()];
+    let absolute = [&b"http://"[..], b"https://"]
+        .into_iter()
+        .find(|scheme| target.get(..scheme.len()).is_some_and(|start| start.eq_ignore_ascii_case(scheme)));
+    let target = match absolute {
+        Some(scheme) => {
+            let rest = &target[scheme.len()..];
+            rest.iter().position(|&b| b == b'/').map_or(&b"/"[..], |at| &rest[at..])
+        }
+        None => target,
+    };
+    if target.starts_with(b"/") && !target.contains(&b'#') {
+        Ok(target)
+    } else {
+        Err(Problem::malformed("the target has no path"))
+    }
+}
+
+fn path_of(target: &[u8]) -> &[u8] {
+    target.split(|&b| b == b'?').next().unwrap_or_default()
+}
+
+impl Problem {
+    fn refused(refusal: Refusal) -> Self {
+        match refusal {
+            Refusal::Malformed(text) => Self::malformed(text),
+            Refusal::HeadTooLarge => {
+                Self::new(431, "Request Header Fields Too Large", "the head is too large")
+            }
+            Refusal::BodyTooLarge => Self::new(413, "Content Too Large", "the body is too large"),
+        }
+    }
+
+    fn unserved(why: Why, retry_after: u64) -> Self {
+        let problem = match why {
+            Why::NoRoom => {
+                Self::new(429, "Too Many Requests", "the lender's quota or the destinations have no room")
+            }
+            Why::NoDestination => Self::new(503, "Service Unavailable", "no destination is available"),
+            Why::DestinationFailed => Self::new(502, "Bad Gateway", "the destination failed"),
+            Why::Deadline => Self::new(504, "Gateway Timeout", "no destination answered in time"),
+        };
+        match why {
+            Why::NoRoom => problem.retry_after(retry_after.max(1)),
+            Why::NoDestination => problem.retry_after(retry_after),
+            Why::DestinationFailed | Why::Deadline => problem,
+        }
+    }
+}
--- /dev/null
+++ b/crates/front_openapi/src/report.rs
@@ -0,0 +1,59 @@
+//! What the console shows of the front.
+
+use crate::Front;
+use exchange::FinalAnswer;
+use link::locked;
+use std::fmt::Write;
+
+/// Final answers of one route.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// With a destination's answer.
+    pub served: u64,
+    /// With the busy reply.
+    pub busy: u64,
+    /// Neither.
+    pub failed: u64,
+}
+
+impl Tally {
+    pub(crate) fn count<A>(&mut self, answer: &FinalAnswer<A>) {
+        match answer {
+            FinalAnswer::Served(_) => self.served += 1,
+            FinalAnswer::Busy { .. } => self.busy += 1,
+            FinalAnswer::Failed(_) => self.failed += 1,
+        }
+    }
+}
+
+impl Front {
+    /// Routes and lenders as text, one a line. `units` are those sent on, each client's try once.
+    pub fn report(&self) -> String {
+        let status = self.exchange.status();
+        let lenders = self.setup.lenders.len();
+        let units = |fits: &dyn Fn(usize) -> bool| -> f64 {
+            status
+                .accounts
+                .iter()
+                .filter(|(account, _)| fits(**account as usize))
+                .fold(0.0, |sum, (_, units)| sum + units)
+        };
+        let mut out = String::from("routes\n");
+        for (i, (route, tally)) in
+            self.setup.table.routes().iter().zip(locked(&self.tallies).iter()).enumerate()
+        {
+            let sent = units(&|account| account / lenders == i);
+            let _ = writeln!(
+                out,
+                "  {:7} {}  cost {}  served {}  busy {}  failed {}  units {sent}",
+                route.method, route.path, route.units, tally.served, tally.busy, tally.failed
+            );
+        }
+        out.push_str("lenders\n");
+        for (i, lender) in self.setup.lenders.iter().enumerate() {
+            let sent = units(&|account| account % lenders == i);
+            let _ = writeln!(out, "  {}  plan {}  units {sent}", lender.name, lender.plan_name);
+        }
+        out
+    }
+}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -237,3 +237,264 @@
         Err(error) => Err(refusal(error)),
     }
 }
+
+/// The head of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestHead {
+    /// The method.
+    pub method: Range<usize>,
+    /// The target as it came.
+    pub target: Range<usize>,
+    /// The fields, in order.
+    pub fields: Vec<Field>,
+    /// How the body ends.
+    pub framing: Framing,
+    /// The connection may be used again.
+    pub keep: bool,
+    /// The client waits for `100 Continue` before it sends the body.
+    pub expects: bool,
+    /// Where the head ends.
+    pub end: usize,
+}
+
+/// Reads the head of a request; `None` where more must come.
+///
+/// # Errors
+///
+/// The bytes are no request, or one whose meaning two readers could take in different ways.
+pub fn request_head(buffer: &[u8]) -> Result<Option<RequestHead>, Refusal> {
+    let mut headers = [httparse::EMPTY_HEADER; MOST_FIELDS];
+    let mut request = httparse::Request::new(&mut headers);
+    match request.parse(buffer) {
+        Ok(httparse::Status::Complete(end)) if end <= LARGEST_HEAD => {
+            let (Some(method), Some(target), Some(version)) = (request.method, request.path, request.version)
+            else {
+                return Err(Refusal::Malformed("not HTTP/1.1"));
+            };
+            let (method, target) = (place(buffer, method.as_bytes()), place(buffer, target.as_bytes()));
+            let fields = places(buffer, request.headers);
+            let told = framing(buffer, &fields)?;
+            if version == 0 && told == Some(Framing::Chunked) {
+                return Err(Refusal::Malformed("Transfer-Encoding in HTTP/1.0"));
+            }
+            match values(buffer, &fields, "host").count() {
+                1 => {}
+                0 if version == 0 => {}
+                _ => return Err(Refusal::Malformed("not exactly one Host")),
+            }
+            let close = lists(buffer, &fields, "connection", "close");
+            let expects = version == 1 && lists(buffer, &fields, "expect", "100-continue");
+            let framing = told.unwrap_or(Framing::Empty);
+            let keep = version == 1 && !close;
+            Ok(Some(RequestHead { method, target, fields, framing, keep, expects, end }))
+        }
+        Ok(httparse::Status::Partial) if buffer.len() <= LARGEST_HEAD => Ok(None),
+        Ok(_) => Err(Refusal::HeadTooLarge),
+        Err(error) => Err(refusal(error)),
+    }
+}
+
+/// A request body as it comes in.
+#[derive(Debug)]
+pub struct Body {
+    framing: Framing,
+    chunks: Chunks,
+    most: usize,
+    /// What has come so far.
+    pub bytes: Vec<u8>,
+}
+
+impl Body {
+    /// A body that is about to come.
+    ///
+    /// # Errors
+    ///
+    /// It says itself that it is larger than `most`.
+    pub fn new(framing: Framing, most: usize) -> Result<Self, Refusal> {
+        if matches!(framing, Framing::Length(length) if length > most as u64) {
+            return Err(Refusal::BodyTooLarge);
+        }
+        Ok(Self { framing, chunks: Chunks::default(), most, bytes: Vec::new() })
+    }
+
+    /// Takes what belongs to the body off the front of the buffer; tells whether it is whole.
+    ///
+    /// # Errors
+    ///
+    /// It is malformed or too large.
+    pub fn take(&mut self, buffer: &mut Vec<u8>) -> Result<bool, Refusal> {
+        let whole = match self.framing {
+            Framing::Empty => true,
+            Framing::Length(length) => {
+                let left = usize::try_from(length).unwrap_or(usize::MAX) - self.bytes.len();
+                self.bytes.extend(buffer.drain(..left.min(buffer.len())));
+                self.bytes.len() as u64 == length
+            }
+            Framing::Chunked => {
+                let used = self.chunks.decode(buffer, 0, &mut self.bytes)?;
+                buffer.drain(..used);
+                self.chunks.is_done()
+            }
+            Framing::UntilEnd => {
+                self.bytes.append(buffer);
+                false
+            }
+        };
+        if self.bytes.len() > self.most { Err(Refusal::BodyTooLarge) } else { Ok(whole) }
+    }
+}
+
+/// Fields that concern one connection only.
+const HOP_BY_HOP: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Appends the fields that go on to the next hop, as they came. The framing of the body is written anew, so
+/// `Content-Length` is left out, and so is `Expect`, which is answered here.
+pub fn put_end_to_end(buffer: &[u8], fields: &[Field], out: &mut Vec<u8>) {
+    for field in fields {
+        let name = &buffer[field.name.clone()];
+        let is = |other: &str| name.eq_ignore_ascii_case(other.as_bytes());
+        let named = std::str::from_utf8(name).is_ok_and(|name| lists(buffer, fields, "connection", name));
+        // A client may not have the fields stripped that say whom and how long a request is for.
+        let kept = is("host");
+        if (named && !kept) || HOP_BY_HOP.iter().any(|h| is(h)) || is("content-length") || is("expect") {
+            continue;
+        }
+        out.extend_from_slice(name);
+        out.extend_from_slice(b": ");
+        out.extend_from_slice(&buffer[field.value.clone()]);
+        out.extend_from_slice(b"\r\n");
+    }
+}
+
+/// A request as it goes on to a destination.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// The request line and the end-to-end fields, each with its line's end.
+    pub head: Vec<u8>,
+    /// The body, where the request had one.
+    pub body: Option<Vec<u8>>,
+    /// Its answer has no body, whatever its fields say.
+    pub is_head: bool,
+}
+
+impl Request {
+    /// The request of this head and body. A field that tells of this program is added, as gateways must.
+    pub fn new(buffer: &[u8], head: &RequestHead, target: &[u8], body: Vec<u8>) -> Self {
+        let method = &buffer[head.method.clone()];
+        let mut out = Vec::with_capacity(head.end + 64);
+        for part in [method, b" ", target, b" HTTP/1.1\r\n"] {
+            out.extend_from_slice(part);
+        }
+        put_end_to_end(buffer, &head.fields, &mut out);
+        out.extend_from_slice(b"Via: 1.1 snowfield\r\n");
+        let body = (head.framing != Framing::Empty).then_some(body);
+        Self { head: out, body, is_head: method == b"HEAD" }
+    }
+
+    /// Appends the whole request.
+    pub fn put(&self, out: &mut Vec<u8>) {
+        out.extend_from_slice(&self.head);
+        if let Some(body) = &self.body {
+            out.extend_from_slice(format!("Content-Length: {}\r\n\r\n", body.len()).as_bytes());
+            out.extend_from_slice(body);
+        } else {
+            out.extend_from_slice(b"\r\n");
+        }
+    }
+}
+
+/// A destination's answer as it goes back to a client.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// The status code.
+    pub status: u16,
+    /// The status line and the end-to-end fields, each with its line's end.
+    pub head: Vec<u8>,
+    /// The length to be told; none where the status allows none.
+    pub length: Option<u64>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl Answer {
+    /// Appends the whole answer.
+    pub fn put(&self, close: bool, out: &mut Vec<u8>) {
+        out.extend_from_slice(&self.head);
+        if let Some(length) = self.length {
+            out.extend_from_slice(format!("Content-Length: {length}\r\n").as_bytes());
+        }
+        if close {
+            out.extend_from_slice(b"Connection: close\r\n");
+        }
+        out.extend_from_slice(b"\r\n");
+        out.extend_from_slice(&self.body);
+    }
+}
+
+/// A whole answer at the start of the buffer and the bytes that it took, with whether the connection may be used
+/// again; `None` where more must come. `end` tells that nothing more will. Interim answers are passed over.
+///
+/// # Errors
+///
+/// No valid answer can come any more.
+pub fn answer(buffer: &[u8], is_head: bool, end: bool) -> Result<Option<(Answer, usize, bool)>, Refusal> {
+    let mut from = 0;
+    let head = loop {
+        let Some(head) = answer_head(&buffer[from..], is_head)? else {
+            return if end { Err(Refusal::Malformed("an answer is cut short")) } else { Ok(None) };
+        };
+        match head.status {
+            101 => return Err(Refusal::Malformed("an upgrade that nobody asked for")),
+            100..200 => from += head.end,
+            _ => break head,
+        }
+    };
+    let message = &buffer[from..];
+    let rest = &message[head.end..];
+    let (body, used) = match head.framing {
+        Framing::Empty => (Vec::new(), 0),
+        Framing::Length(length) => match rest.get(..usize::try_from(length).unwrap_or(usize::MAX)) {
+            Some(body) => (body.to_vec(), body.len()),
+            None if end => return Err(Refusal::Malformed("an answer is cut short")),
+            None => return Ok(None),
+        },
+        Framing::Chunked => {
+            let (mut chunks, mut body) = (Chunks::default(), Vec::new());
+            let used = chunks.decode(rest, 0, &mut body)?;
+            match (chunks.is_done(), end) {
+                (true, _) => (body, used),
+                (false, true) => return Err(Refusal::Malformed("an answer is cut short")),
+                (false, false) => return Ok(None),
+            }
+        }
+        Framing::UntilEnd if end => (rest.to_vec(), rest.len()),
+        Framing::UntilEnd => return Ok(None),
+    };
+    let length = match head.framing {
+        // What a body would have been long, where there is none: as the destination told.
+        Framing::Empty if head.status == 204 => None,
+        Framing::Empty => {
+            let told = values(message, &head.fields, "content-length").next();
+            told.and_then(|v| std::str::from_utf8(v).ok()).and_then(|v| v.trim().parse().ok())
+        }
+        _ => Some(body.len() as u64),
+    };
+    let line = message.iter().position(|&b| b == b'\n').map_or(message, |at| &message[..at]).trim_ascii_end();
+    let mut out = Vec::with_capacity(head.end + 32);
+    out.extend_from_slice(b"HTTP/1.1");
+    out.extend_from_slice(line.get(8..).unwrap_or_default());
+    out.extend_from_slice(b"\r\n");
+    put_end_to_end(message, &head.fields, &mut out);
+    let answer = Answer { status: head.status, head: out, length, body };
+    Ok(Some((answer, from + head.end + used, head.keep)))
+}
--- /dev/null
+++ b/crates/openapi/src/node.rs
@@ -0,0 +1,113 @@
+//! A description as a tree, from JSON or YAML. A key that comes twice is refused: one of the two would be lost.
+
+use serde::de::{Deserialize, Deserializer, Error, MapAccess, SeqAccess, Visitor};
+use std::fmt;
+
+/// One value of a description.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Node {
+    Null,
+    Bool(bool),
+    Number(f64),
+    Text(String),
+    List(Vec<Node>),
+    Map(Vec<(String, Node)>),
+}
+
+impl Node {
+    /// The value under a key of a map.
+    pub(crate) fn get(&self, key: &str) -> Option<&Node> {
+        self.entries().iter().find(|(k, _)| k == key).map(|(_, v)| v)
+    }
+
+    /// The entries of a map; none where it is no map.
+    pub(crate) fn entries(&self) -> &[(String, Node)] {
+        if let Self::Map(entries) = self { entries } else { &[] }
+    }
+
+    /// The items of a list; none where it is no list.
+    pub(crate) fn items(&self) -> &[Node] {
+        if let Self::List(items) = self { items } else { &[] }
+    }
+
+    pub(crate) fn text(&self) -> Option<&str> {
+        if let Self::Text(text) = self { Some(text) } else { None }
+    }
+
+    /// The value that a JSON pointer leads to.
+    pub(crate) fn pointed(&self, pointer: &str) -> Option<&Node> {
+        pointer.split('/').skip(1).try_fold(self, |node, token| {
+            let token = token.replace("~1", "/").replace("~0", "~");
+            match node {
+                Self::List(items) => items.get(token.parse::<usize>().ok()?),
+                _ => node.get(&token),
+            }
+        })
+    }
+}
+
+impl<'de> Deserialize<'de> for Node {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        from.deserialize_any(NodeVisitor)
+    }
+}
+
+struct NodeVisitor;
+
+impl<'de> Visitor<'de> for NodeVisitor {
+    type Value = Node;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a value of a description")
+    }
+
+    fn visit_unit<E>(self) -> Result<Node, E> {
+        Ok(Node::Null)
+    }
+
+    fn visit_bool<E>(self, value: bool) -> Result<Node, E> {
+        Ok(Node::Bool(value))
+    }
+
+    fn visit_i64<E>(self, value: i64) -> Result<Node, E> {
+        Ok(Node::Number(value as f64))
+    }
+
+    fn visit_u64<E>(self, value: u64) -> Result<Node, E> {
+        Ok(Node::Number(value as f64))
+    }
+
+    fn visit_f64<E>(self, value: f64) -> Result<Node, E> {
+        Ok(Node::Number(value))
+    }
+
+    fn visit_str<E>(self, value: &str) -> Result<Node, E> {
+        Ok(Node::Text(value.to_owned()))
+    }
+
+    fn visit_seq<S: SeqAccess<'de>>(self, mut from: S) -> Result<Node, S::Error> {
+        let mut items = Vec::new();
+        while let Some(item) = from.next_element()? {
+            items.push(item);
+        }
+        Ok(Node::List(items))
+    }
+
+    fn visit_map<M: MapAccess<'de>>(self, mut from: M) -> Result<Node, M::Error> {
+        let mut entries: Vec<(String, Node)> = Vec::new();
+        while let Some((key, value)) = from.next_entry::<Node, Node>()? {
+            // YAML has keys that are no text: the statuses of answers are often written as numbers.
+            let key = match key {
+                Node::Text(text) => text,
+                Node::Number(number) => number.to_string(),
+                Node::Bool(truth) => truth.to_string(),
+                _ => return Err(M::Error::custom("a key is neither text nor a number")),
+            };
+            if entries.iter().any(|(k, _)| *k == key) {
+                return Err(M::Error::custom(format!("the key {key:?} comes twice")));
+            }
+            entries.push((key, value));
+        }
+        Ok(Node::Map(entries))
+    }
+}
--- /dev/null
+++ b/crates/settings/src/appliance.rs
@@ -0,0 +1,321 @@
+//! The appliance's file under `deploy/`: where it listens, its descriptions, lenders and plans, and Consul.
+
+use crate::ConfigError;
+use dewproxy::interface as module;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// The file as the program uses it.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Appliance {
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where the console asks for the live status; on loopback only.
+    pub status: Option<SocketAddr>,
+    /// The OpenAPI descriptions, relative to the file's folder.
+    pub descriptions: Vec<PathBuf>,
+    /// The header that names the lender.
+    pub lender_header: String,
+    /// Consul.
+    pub consul: Consul,
+    /// How the quotas are shared with other gatekeepers.
+    #[serde(default)]
+    pub quota: Quota,
+    /// Bounds and spans.
+    #[serde(default)]
+    pub limits: Limits,
+    /// How destinations start.
+    #[serde(default)]
+    pub fleet: Fleet,
+    /// The classes of requests.
+    #[serde(rename = "class")]
+    pub classes: Vec<Class>,
+    /// The plans.
+    #[serde(rename = "plan")]
+    pub plans: Vec<Plan>,
+    /// The lenders.
+    #[serde(rename = "lender")]
+    pub lenders: Vec<Lender>,
+}
+
+/// Where the destinations come from.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Consul {
+    /// Its HTTP API.
+    pub address: SocketAddr,
+    /// The service whose instances are the destinations.
+    pub service: String,
+    /// Only instances with this tag.
+    pub tag: Option<String>,
+    /// How long a blocking query may stay open.
+    #[serde(default = "consul_wait")]
+    pub wait_ms: u64,
+}
+
+fn consul_wait() -> u64 {
+    30_000
+}
+
+/// How the quotas are shared.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Quota {
+    /// Gatekeepers that share the quotas.
+    pub gatekeepers: u32,
+    /// This one's number, from 0.
+    pub number: u32,
+    /// The quota counter; without one each gatekeeper keeps to its even part.
+    pub counter: Option<SocketAddr>,
+    /// A call to it is given up after this.
+    pub counter_wait_ms: u64,
+    /// The longest advice on when to come back.
+    pub longest_retry_after_ms: u64,
+}
+
+impl Default for Quota {
+    fn default() -> Self {
+        Self { gatekeepers: 1, number: 0, counter: None, counter_wait_ms: 30, longest_retry_after_ms: 60_000 }
+    }
+}
+
+/// Bounds and spans.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// The most bytes of a request's body.
+    pub body_bytes: usize,
+    /// The most bytes of a destination's answer.
+    pub answer_bytes: usize,
+    /// Connections on both sides together.
+    pub sockets: usize,
+    /// A connection not made by then has failed.
+    pub connect_ms: u64,
+    /// An idle connection to a destination is closed after this.
+    pub idle_ms: u64,
+    /// Route steps of one operation.
+    pub route_steps: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            body_bytes: 65_536,
+            answer_bytes: 1_048_576,
+            sockets: 1024,
+            connect_ms: 250,
+            idle_ms: 15_000,
+            route_steps: 3,
+        }
+    }
+}
+
+/// How destinations start.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Fleet {
+    /// The share of its capacity that a destination starts with, at least.
+    pub cold_share: f64,
+    /// It is warm after this at most; 0 means at once.
+    pub cold_ms: u64,
+    /// A cold one sent more than this multiple of what it can do ...
+    pub overload_factor: f64,
+    /// ... for this long falls over.
+    pub fall_ms: u64,
+}
+
+impl Default for Fleet {
+    fn default() -> Self {
+        Self { cold_share: 1.0, cold_ms: 0, overload_factor: 2.0, fall_ms: 1_000 }
+    }
+}
+
+/// What a repeat may do.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+pub enum Repeat {
+    /// Nothing: requests of the class may be tried again and copied.
+    Safe,
+    /// Harm: a request that may have run is never sent again.
+    Unsafe,
+}
+
+/// A class of requests.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Class {
+    /// Its name in the descriptions.
+    pub name: String,
+    /// What a repeat may do.
+    pub repeat: Repeat,
+    /// An answer is wanted by then.
+    pub wanted_ms: u64,
+    /// It is given up then.
+    pub deadline_ms: u64,
+    /// Worth of one unit.
+    #[serde(default = "one")]
+    pub worth: f64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// A plan.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Plan {
+    /// Its name.
+    pub name: String,
+    /// Units a second of each of its lenders.
+    pub units_per_second: f64,
+    /// The most units that a lender may use at once.
+    pub burst: f64,
+    /// Hard ceiling in units a second; 0 means none.
+    #[serde(default)]
+    pub ceiling_per_second: f64,
+    /// The most units that the ceiling lets through at once.
+    #[serde(default)]
+    pub ceiling_burst: f64,
+    /// Factor on the worth.
+    #[serde(default = "one")]
+    pub price: f64,
+}
+
+/// A lender.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Lender {
+    /// Its name, as the header gives it.
+    pub name: String,
+    /// The name of its plan.
+    pub plan: String,
+}
+
+/// Reads the file.
+///
+/// # Errors
+///
+/// The text names what is missing or cannot be used.
+pub fn parse(text: &str) -> Result<Appliance, ConfigError> {
+    let file: Appliance = toml::from_str(text).map_err(|e| ConfigError(e.to_string()))?;
+    let bad = |text: String| Err(ConfigError(text));
+    let fine = |problem: Option<String>| problem.map_or(Ok(()), |text| Err(ConfigError(text)));
+    if let Some(status) = file.status.filter(|s| !s.ip().is_loopback()) {
+        return bad(format!("status: {status} is not on loopback, and the status has no access control"));
+    }
+    if file.descriptions.is_empty() {
+        return bad("descriptions: at least one is needed".into());
+    }
+    let header = !file.lender_header.is_empty()
+        && file.lender_header.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_".contains(&b));
+    if !header {
+        return bad(format!("lender_header: {:?} is no name of a header", file.lender_header));
+    }
+    let names = |list: Vec<&str>, what: &str| {
+        let twice = list.iter().enumerate().find(|(i, n)| list[..*i].contains(n)).map(|(_, n)| *n);
+        match (twice, list.iter().any(|n| n.is_empty())) {
+            (Some(name), _) => fine(Some(format!("{what} {name:?} comes twice"))),
+            (None, true) => fine(Some(format!("a {what} has no name"))),
+            (None, false) => fine(None),
+        }
+    };
+    names(file.classes.iter().map(|c| c.name.as_str()).collect(), "class")?;
+    names(file.plans.iter().map(|p| p.name.as_str()).collect(), "plan")?;
+    names(file.lenders.iter().map(|l| l.name.as_str()).collect(), "lender")?;
+    if file.lenders.is_empty() {
+        return bad("lender: at least one is needed".into());
+    }
+    for lender in &file.lenders {
+        if file.plan_number(&lender.plan).is_none() {
+            return bad(format!("lender {:?} has the unknown plan {:?}", lender.name, lender.plan));
+        }
+    }
+    if let Some(plan) = file.plans.iter().find(|p| !(p.units_per_second > 0.0 && p.burst > 0.0)) {
+        return bad(format!("plan {:?} needs units_per_second and burst above 0", plan.name));
+    }
+    if file.limits.sockets < 128 || file.limits.route_steps == 0 || file.limits.route_steps > 16 {
+        return bad("limits: sockets must be 128 at least, and route_steps 1 to 16".into());
+    }
+    if file.consul.service.is_empty() || file.consul.wait_ms == 0 {
+        return bad("consul: service must have a name, and wait_ms must be above 0".into());
+    }
+    file.settings(1.0)?;
+    Ok(file)
+}
+
+impl Appliance {
+    /// The number of a class.
+    pub fn class_number(&self, name: &str) -> Option<usize> {
+        self.classes.iter().position(|c| c.name == name)
+    }
+
+    /// The number of a plan.
+    pub fn plan_number(&self, name: &str) -> Option<usize> {
+        self.plans.iter().position(|p| p.name == name)
+    }
+
+    /// The module's settings where one request takes so many units at most.
+    ///
+    /// # Errors
+    ///
+    /// The module cannot work by them.
+    pub fn settings(&self, largest: f64) -> Result<module::Settings, ConfigError> {
+        let settings = module::Settings {
+            gateways: self.quota.gatekeepers,
+            me: self.quota.number,
+            classes: self.classes.iter().map(class).collect(),
+            plans: self.plans.iter().map(plan).collect(),
+            max_attempts: self.limits.route_steps,
+            second_copies: true,
+            cancel: true,
+            max_retry_after: self.quota.longest_retry_after_ms * 1000,
+            connect_timeout: self.limits.connect_ms * 1000,
+            cold_share: self.fleet.cold_share,
+            cold_span: self.fleet.cold_ms * 1000,
+            overload_factor: self.fleet.overload_factor,
+            fall_span: self.fleet.fall_ms * 1000,
+            drain_grace: 1_000_000,
+            counter: self.quota.counter.is_some(),
+            counter_wait: self.quota.counter_wait_ms * 1000,
+            largest,
+            ..module::Settings::default()
+        };
+        settings.validate().map_err(|e| ConfigError(e.to_string()))?;
+        Ok(settings)
+    }
+}
+
+fn class(c: &Class) -> module::Class {
+    module::Class {
+        aim: c.wanted_ms * 1000,
+        deadline: c.deadline_ms * 1000,
+        effect: match c.repeat {
+            Repeat::Safe => module::Effect::Safe,
+            Repeat::Unsafe => module::Effect::Unsafe,
+        },
+        group: module::Group::All,
+        worth: c.worth,
+        ..module::Class::default()
+    }
+}
+
+fn plan(p: &Plan) -> module::Plan {
+    module::Plan {
+        rate: p.units_per_second,
+        burst: p.burst,
+        ceiling_rate: p.ceiling_per_second,
+        ceiling_burst: p.ceiling_burst,
+        price: p.price,
+        ..module::Plan::default()
+    }
+}
+
+/// A lender's customer number: the same at every gatekeeper, whatever the order of its file (FNV-1a).
+pub fn customer_number(lender: &str) -> u64 {
+    lender
+        .bytes()
+        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3))
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,5 +1,7 @@
 //! What config.json says, read once into the values that the program uses.
 
+pub mod appliance;
+
 use dewproxy::interface as module;
 use serde::Deserialize;
 use std::fmt;
--- /dev/null
+++ b/crates/snowfield/src/console.rs
@@ -0,0 +1,74 @@
+//! What the terminal console shows.
+
+use crate::appliance;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::path::Path;
+use std::time::Duration;
+
+/// How the program is called.
+pub const USAGE: &str = "\
+snowfield               serve on the platform, by the file that BALANCER_CONFIG names
+snowfield serve FILE    serve the OpenAPI descriptions that FILE names
+snowfield check FILE    check FILE and its descriptions
+snowfield routes FILE   list the routes with their units and classes
+snowfield status FILE   show the live status of the program that serves FILE
+";
+
+/// Checks a file and says what it holds.
+///
+/// # Errors
+///
+/// The text names what is missing or cannot be used.
+pub fn check(path: &Path) -> Result<(), String> {
+    let checked = appliance::check(path)?;
+    let (file, table) = (&checked.file, &checked.table);
+    println!(
+        "{}: {} routes, {} lenders, {} plans; listens on {}",
+        path.display(),
+        table.routes().len(),
+        file.lenders.len(),
+        file.plans.len(),
+        file.listen
+    );
+    Ok(())
+}
+
+/// Lists the routes.
+///
+/// # Errors
+///
+/// As [`check`].
+pub fn routes(path: &Path) -> Result<(), String> {
+    let checked = appliance::check(path)?;
+    for route in checked.table.routes() {
+        let name = route.name.as_deref().unwrap_or("-");
+        println!(
+            "{:7} {}  units {}  class {}  {name}  {}",
+            route.method, route.path, route.units, route.class, route.source
+        );
+    }
+    Ok(())
+}
+
+/// Asks the program that serves a file for its status.
+///
+/// # Errors
+///
+/// The file names no status address, or nobody answers there.
+pub fn status(path: &Path) -> Result<(), String> {
+    let checked = appliance::check(path)?;
+    let at = checked.file.status.ok_or_else(|| format!("{}: it names no status address", path.display()))?;
+    let ask = || -> std::io::Result<String> {
+        let mut stream = TcpStream::connect_timeout(&at, Duration::from_secs(2))?;
+        stream.set_read_timeout(Some(Duration::from_secs(5)))?;
+        stream.write_all(format!("GET / HTTP/1.1\r\nHost: {at}\r\n\r\n").as_bytes())?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer)?;
+        Ok(answer)
+    };
+    let answer = ask().map_err(|e| format!("{at}: {e}"))?;
+    let body = answer.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+    print!("{body}");
+    Ok(())
+}
--- a/crates/snowfield/src/main.rs
+++ b/crates/snowfield/src/main.rs
@@ -1,13 +1,34 @@
 //! The gatekeeper: wires the parts, answers signals and writes the log.
 
+mod appliance;
 mod clock;
+mod console;
 mod hosts;
 mod platform;
+mod signals;
 
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    match platform::run() {
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    let done = match words.iter().map(String::as_str).collect::<Vec<_>>()[..] {
+        // What the platform starts.
+        [] => platform::run(),
+        ["serve", file] => appliance::serve(file.as_ref()),
+        ["check", file] => console::check(file.as_ref()),
+        ["routes", file] => console::routes(file.as_ref()),
+        ["status", file] => console::status(file.as_ref()),
+        ["help" | "--help" | "-h"] => {
+            print!("{}", console::USAGE);
+            Ok(())
+        }
+        ["--version" | "-V"] => {
+            println!("snowfield {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+        _ => Err(format!("these arguments mean nothing\n{}", console::USAGE)),
+    };
+    match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(text) => {
             eprintln!("snowfield: {text}");
--- a/crates/snowfield/src/platform.rs
+++ b/crates/snowfield/src/platform.rs
@@ -1,6 +1,7 @@
 //! One gatekeeper on the platform: its configuration, the RESP2 front, discovery and the counter.
 
 use crate::hosts::Hosts;
+use crate::signals::{self, Closing};
 use counter::CounterClient;
 use destination::{Limits, Pools, RespDestination};
 use dewproxy::interface::ListKind;
@@ -9,18 +10,11 @@
 use front_resp::{Front, Names};
 use link::{Door, spawn, spawn_with};
 use settings::Config;
-use signal_hook::consts::{SIGINT, SIGTERM};
-use signal_hook::iterator::Signals;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Descriptors kept for the listener, discovery, the counter, `may` and the standard streams.
 const SPARE_SOCKETS: usize = 64;
-/// After SIGTERM new connections still come for up to 0.4 s.
-const OVERLAP: Duration = Duration::from_millis(500);
-/// Past the longest deadline nothing can be unanswered.
-const LAST_CALL: Duration = Duration::from_millis(300);
-
 /// Reads the configuration, serves until a signal, and answers what was taken.
 ///
 /// # Errors
@@ -30,24 +24,24 @@
     let path = std::env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG names no configuration file")?;
     let mut json = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
     let config = settings::parse(&mut json).map_err(|e| format!("{path}: {e}"))?;
-    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(|e| format!("signals: {e}"))?;
+    let caught = signals::catch()?;
     link::set_up();
     let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
     let (front, door) = start(config)?;
-    let signal = signals.forever().next();
-    println!("signal {}: serving the overlap, then finishing", signal.unwrap_or(0));
-    std::thread::sleep(OVERLAP);
-    door.shut();
-    front.close();
-    let begun = Instant::now();
-    let last = Duration::from_micros(longest) + LAST_CALL;
-    while front.open() > 0 && begun.elapsed() < last {
-        std::thread::sleep(Duration::from_millis(10));
-    }
-    println!("stopped with {} front sockets open", front.open());
+    signals::serve_until(caught, &*front, &door, Duration::from_micros(longest));
     Ok(())
 }
 
+impl Closing for Front {
+    fn close(&self) {
+        Front::close(self);
+    }
+
+    fn open(&self) -> usize {
+        Front::open(self)
+    }
+}
+
 fn start(config: Config) -> Result<(Arc<Front>, Arc<Door>), String> {
     let clock = Clock::start();
     let sockets = config.sockets.saturating_sub(SPARE_SOCKETS).max(16);
--- /dev/null
+++ b/crates/snowfield/tests/appliance.rs
@@ -0,0 +1,541 @@
+//! The OpenAPI front in the real program, with stand-ins for Consul, the counter and the destinations that are written
+//! from their public specifications.
+
+mod common;
+
+use common::*;
+use std::collections::HashMap;
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Condvar, Mutex};
+
+/// A stand-in of Consul's health and catalogue API with blocking queries.
+#[derive(Clone)]
+struct Consul {
+    address: SocketAddr,
+    state: Arc<(Mutex<ConsulState>, Condvar)>,
+}
+
+#[derive(Default)]
+struct ConsulState {
+    index: u64,
+    /// By id: where it listens and whether its checks pass.
+    instances: Vec<(String, SocketAddr, bool)>,
+    /// Answers with status 500 and ends open queries.
+    down: bool,
+    asked: Option<Sender<String>>,
+}
+
+impl Consul {
+    /// Also tells the target of each query.
+    fn start(instances: &[SocketAddr]) -> (Self, Receiver<String>) {
+        let (tell, asked) = channel();
+        let named = |(i, at): (usize, &SocketAddr)| (format!("loans-{i}"), *at, true);
+        let instances = instances.iter().enumerate().map(named).collect();
+        let state = ConsulState { index: 10, instances, down: false, asked: Some(tell) };
+        let state = Arc::new((Mutex::new(state), Condvar::new()));
+        let shared = state.clone();
+        let address = listen(move |stream| Self::serve(&shared, stream));
+        (Self { address, state }, asked)
+    }
+
+    fn serve(shared: &(Mutex<ConsulState>, Condvar), stream: TcpStream) {
+        let mut writes = stream.try_clone().expect("a second handle");
+        let Some(request) = message(&mut BufReader::new(stream)) else { return };
+        let (path, query) = request.target().split_once('?').unwrap_or((request.target(), ""));
+        let query: HashMap<&str, &str> = query.split('&').filter_map(|pair| pair.split_once('=')).collect();
+        let index: u64 = query.get("index").map_or(0, |i| i.parse().expect("a number"));
+        let mut state = shared.0.lock().expect("no stand-in panics");
+        if let Some(tell) = &state.asked {
+            let _ = tell.send(request.target().to_owned());
+        }
+        // A query with the present index waits for the next change.
+        state = shared.1.wait_while(state, |s| !s.down && index == s.index).expect("no stand-in panics");
+        if state.down {
+            let _ = writes.write_all(b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n");
+            return;
+        }
+        let health = path == "/v1/health/service/loan-server";
+        assert!(health || path == "/v1/catalog/service/loan-server", "{path}");
+        let passing = query.contains_key("passing");
+        let entries: Vec<String> = state
+            .instances
+            .iter()
+            .filter(|(_, _, passes)| *passes || !passing)
+            .map(|(id, at, _)| {
+                let (ip, port) = (at.ip(), at.port());
+                if health {
+                    format!(
+                        r#"{{"Node":{{"Node":"a","Address":"{ip}"}},"Service":{{"ID":"{id}","Service":"loan-server","Address":"","Port":{port}}},"Checks":[]}}"#
+                    )
+                } else {
+                    format!(
+                        r#"{{"Node":"a","Address":"{ip}","ServiceID":"{id}","ServiceAddress":"","ServicePort":{port}}}"#
+                    )
+                }
+            })
+            .collect();
+        let body = format!("[{}]", entries.join(","));
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nX-Consul-Index: {}\r\nContent-Length: {}\r\n\r\n",
+            state.index,
+            body.len()
+        );
+        let _ = writes.write_all((head + &body).as_bytes());
+    }
+
+    fn change(&self, change: impl FnOnce(&mut ConsulState)) {
+        let mut state = self.state.0.lock().expect("no stand-in panics");
+        change(&mut state);
+        self.state.1.notify_all();
+    }
+
+    fn set(&self, index: u64, change: impl FnOnce(&mut Vec<(String, SocketAddr, bool)>)) {
+        self.change(|state| {
+            change(&mut state.instances);
+            state.index = index;
+        });
+    }
+}
+
+const LOANS: &str = r##"{
+  "openapi": "3.0.3", "info": {"title": "Loans", "version": "1"},
+  "servers": [{"url": "https://api.example.com/v1/"}],
+  "x-snowfield-default": {"class": "lookup"},
+  "paths": {
+    "/loans/{loan}": {
+      "get": {"operationId": "balance", "x-snowfield-units": 1, "responses": {}},
+      "head": {"x-snowfield-units": 1, "responses": {}},
+      "post": {"operationId": "notice", "x-snowfield-units": 2, "x-snowfield-class": "notice", "responses": {}}
+    },
+    "/loans/all": {"get": {"operationId": "all", "x-snowfield-units": 3, "responses": {}}},
+    "/loans/{loan}/schedule": {"get": {"operationId": "schedule", "x-snowfield-units": 2.5, "responses": {}}}
+  }
+}"##;
+
+struct Shape<'a> {
+    destinations: &'a [SocketAddr],
+    quota: String,
+    plan: &'a str,
+    deadline_ms: u32,
+}
+
+impl Default for Shape<'_> {
+    fn default() -> Self {
+        Self {
+            destinations: &[],
+            quota: String::new(),
+            plan: "units_per_second = 100.0\nburst = 400.0",
+            deadline_ms: 2500,
+        }
+    }
+}
+
+struct Site {
+    program: Program,
+    listen: SocketAddr,
+    consul: Consul,
+    asked: Receiver<String>,
+    file: String,
+    _folder: Folder,
+}
+
+fn file(consul: SocketAddr, status: SocketAddr, shape: &Shape<'_>) -> String {
+    format!(
+        r#"
+listen = "127.0.0.1:0"
+status = "{status}"
+descriptions = ["loans.json"]
+lender_header = "X-Lender"
+[consul]
+address = "{consul}"
+service = "loan-server"
+[quota]
+{quota}
+[limits]
+body_bytes = 1000
+[[class]]
+name = "lookup"
+repeat = "safe"
+wanted_ms = 300
+deadline_ms = {deadline}
+[[class]]
+name = "notice"
+repeat = "unsafe"
+wanted_ms = 300
+deadline_ms = {deadline}
+[[plan]]
+name = "basic"
+{plan}
+[[lender]]
+name = "al-noor"
+plan = "basic"
+[[lender]]
+name = "sohar"
+plan = "basic"
+"#,
+        quota = shape.quota,
+        deadline = shape.deadline_ms,
+        plan = shape.plan
+    )
+}
+
+fn site(test: &str, shape: &Shape<'_>) -> Site {
+    let (consul, asked) = Consul::start(shape.destinations);
+    let folder = Folder::new(test);
+    folder.write("loans.json", LOANS);
+    let file = folder.write("openapi.toml", &file(consul.address, nobody(), shape));
+    let program = Program::start(&["serve", &file], &[]);
+    let listen = program.logged("serving OpenAPI on ").parse().expect("an address");
+    let site = Site { program, listen, consul, asked, file, _folder: folder };
+    site.program.logged("consul: ");
+    site
+}
+
+fn get(path: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nHost: api.example.com\r\nX-Lender: al-noor\r\n\r\n")
+}
+
+fn ok(text: &str) -> Vec<u8> {
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len()).into_bytes()
+}
+
+fn serving() -> (SocketAddr, Receiver<Seen<Message>>) {
+    destination(message, |request| Does::Say(ok(&request.first)))
+}
+
+#[test]
+fn counted_units_match_the_description_exactly() {
+    let (at, seen) = serving();
+    // Each name starts as if another gatekeeper had used a little of it, so no time before is written off.
+    let (counter, added) = counter(0.5);
+    let quota = format!("gatekeepers = 2\ncounter = \"{counter}\"");
+    let mut site = site("units", &Shape { destinations: &[at], quota, ..Shape::default() });
+    let mut client = Client::connect(site.listen);
+    let mut wanted = 0.0;
+    for (path, units, times) in [
+        ("/v1/loans/7", 1.0, 5),
+        ("/v1/loans/all", 3.0, 2),
+        ("/v1/loans/%61ll", 3.0, 1),
+        ("/v1/loans/7/schedule", 2.5, 4),
+    ] {
+        for _ in 0..times {
+            assert_eq!(client.ask(&get(path)).status(), 200, "{path}");
+            wanted += units;
+        }
+    }
+    let notice = "POST /v1/loans/7 HTTP/1.1\r\nHost: a\r\nX-Lender: al-noor\r\nContent-Length: 2\r\n\r\nhi";
+    assert_eq!(client.ask(notice).status(), 200);
+    wanted += 2.0;
+    // What is not sent on is not counted.
+    assert_eq!(client.ask(&get("/v1/nothing")).status(), 404);
+    assert_eq!(all_asked(&seen).len(), 13);
+    let (succeeded, status) = run(&["status", &site.file], &[]);
+    assert!(succeeded, "{status}");
+    for line in [
+        "GET     /v1/loans/{loan}  cost 1  served 5  busy 0  failed 0  units 5",
+        "GET     /v1/loans/all  cost 3  served 3  busy 0  failed 0  units 9",
+        "GET     /v1/loans/{loan}/schedule  cost 2.5  served 4  busy 0  failed 0  units 10",
+        "POST    /v1/loans/{loan}  cost 2  served 1  busy 0  failed 0  units 2",
+        "al-noor  plan basic  units 26",
+        "sohar  plan basic  units 0",
+        "passing  route steps out 0",
+    ] {
+        assert!(status.contains(line), "{line}\n{status}");
+    }
+    let mut told = 0.0;
+    while told < wanted {
+        told += next(&added).1;
+    }
+    assert_eq!(told, wanted, "the counter hears what the description states, and no more");
+    site.program.terminate();
+    assert_eq!(site.program.wait(), Some(0));
+}
+
+#[test]
+fn beyond_the_quota_a_lender_is_told_when_to_come_back_and_others_are_served() {
+    let (at, seen) = serving();
+    let plan = "units_per_second = 0.5\nburst = 4.0";
+    let site = site("quota", &Shape { destinations: &[at], plan, ..Shape::default() });
+    let mut client = Client::connect(site.listen);
+    // A new lender may use the largest request's units: 3.
+    assert_eq!(client.ask(&get("/v1/loans/all")).status(), 200);
+    let busy = client.ask(&get("/v1/loans/all"));
+    assert_eq!((busy.status(), busy.field("content-type")), (429, Some("application/problem+json")));
+    let wait: u64 = busy.field("retry-after").expect("advice").parse().expect("seconds");
+    assert!((1..=6).contains(&wait), "3 units come in 6 s: {wait}");
+    assert_eq!(client.ask(&get("/v1/loans/all").replace("al-noor", "sohar")).status(), 200);
+    assert_eq!(all_asked(&seen).len(), 2);
+}
+
+#[test]
+fn the_body_and_end_to_end_fields_go_on_unchanged_and_hop_by_hop_ones_do_not() {
+    let answer = "HTTP/1.1 203 Fine Enough\r\nX-One: a b\r\nSet-Cookie: x=1\r\nSet-Cookie: y=2\r\nKeep-Alive: timeout=5\r\n\
+                  Connection: X-Hop\r\nX-Hop: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;ext=1\r\nde\r\n0\r\n\r\n";
+    let (at, seen) = destination(message, move |_| Does::Say(answer.as_bytes().to_vec()));
+    let site = site("unchanged", &Shape { destinations: &[at], ..Shape::default() });
+    let mut client = Client::connect(site.listen);
+    let got = client.ask(
+        "POST /v1/loans/7?q=%20x&y HTTP/1.1\r\nHost: api.example.com\r\nX-Lender: al-noor\r\nX-Mixed-Case: Kept  As Is\r\n\
+         TE: trailers\r\nConnection: close-not, X-Mine\r\nX-Mine: 1\r\nUpgrade: h2c\r\nTransfer-Encoding: chunked\r\n\r\n\
+         4\r\n\0\x01\r\n\r\n0\r\n\r\n",
+    );
+    assert_eq!((got.first.as_str(), got.text().as_str()), ("HTTP/1.1 203 Fine Enough", "abcde"));
+    let names: Vec<&str> = got.fields.iter().map(|(n, _)| n.as_str()).collect();
+    assert_eq!(names, ["x-one", "set-cookie", "set-cookie", "content-length"]);
+    let sent = asked(&seen);
+    assert_eq!(sent.first, "POST /v1/loans/7?q=%20x&y HTTP/1.1");
+    assert_eq!(sent.body, b"\0\x01\r\n");
+    assert_eq!(sent.field("x-mixed-case"), Some("Kept  As Is"));
+    assert_eq!(sent.field("host"), Some("api.example.com"));
+    for gone in ["te", "connection", "x-mine", "upgrade", "transfer-encoding"] {
+        assert_eq!(sent.field(gone), None, "{gone}");
+    }
+}
+
+#[test]
+fn what_cannot_be_taken_gets_its_status() {
+    let (at, seen) = serving();
+    let site = site("statuses", &Shape { destinations: &[at], ..Shape::default() });
+    let ask = |request: &str| Client::connect(site.listen).ask(request);
+    let fields = "Host: a\r\nX-Lender: al-noor\r\n";
+    for (request, status) in [
+        (get("/v1/loans"), 404),
+        (get("/loans/7"), 404),
+        (get("/v1/loans/"), 404),
+        (format!("DELETE /v1/loans/7 HTTP/1.1\r\n{fields}\r\n"), 405),
+        (get("/v1/loans/x%2Fall"), 400),
+        (get("/v1/loans/%2e%2E"), 400),
+        (get("/v1/loans/%zz"), 400),
+        ("GET /v1/loans/7 HTTP/1.1\r\nHost: a\r\n\r\n".into(), 400),
+        ("GET /v1/loans/7 HTTP/1.1\r\nHost: a\r\nX-Lender: al-noor\r\nX-Lender: sohar\r\n\r\n".into(), 400),
+        ("GET /v1/loans/7 HTTP/1.1\r\nHost: a\r\nX-Lender: nobody\r\n\r\n".into(), 403),
+        ("GET /v1/loans/7 HTTP/1.1\r\nX-Lender: al-noor\r\n\r\n".into(), 400),
+        ("nonsense\r\n\r\n".into(), 400),
+        (
+            format!(
+                "POST /v1/loans/7 HTTP/1.1\r\n{fields}Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n"
+            ),
+            400,
+        ),
+        (format!("POST /v1/loans/7 HTTP/1.1\r\n{fields}Content-Length: 2\r\nContent-Length: 2\r\n\r\n"), 400),
+        (format!("POST /v1/loans/7 HTTP/1.1\r\n{fields}Content-Length: +2\r\n\r\n"), 400),
+        (format!("POST /v1/loans/7 HTTP/1.1\r\n{fields}Transfer-Encoding: chunked\r\n\r\nxyz\r\n"), 400),
+        (format!("POST /v1/loans/7 HTTP/1.1\r\n{fields}Content-Length: 1001\r\n\r\n"), 413),
+        (
+            format!(
+                "POST /v1/loans/7 HTTP/1.1\r\n{fields}Transfer-Encoding: chunked\r\n\r\n3e9\r\n{}\r\n",
+                "x".repeat(1001)
+            ),
+            413,
+        ),
+        (format!("GET /v1/loans/7 HTTP/1.1\r\n{fields}X-Long: {}\r\n\r\n", "x".repeat(40_000)), 431),
+        (format!("GET /v1/loans/7 HTTP/1.1\r\n{fields}{}\r\n", "X-Many: 1\r\n".repeat(100)), 431),
+    ] {
+        let got = ask(&request);
+        assert_eq!(got.status(), status, "{}", &request[..request.len().min(200)]);
+    }
+    let wrong = ask(&format!("DELETE /v1/loans/7 HTTP/1.1\r\n{fields}\r\n"));
+    assert_eq!(wrong.field("allow"), Some("GET, HEAD, POST"));
+    // Concrete paths win over templates, with their methods.
+    let wrong = ask(&format!("POST /v1/loans/all HTTP/1.1\r\n{fields}\r\n"));
+    assert_eq!((wrong.status(), wrong.field("allow")), (405, Some("GET")));
+    assert!(all_asked(&seen).is_empty(), "nothing of this was sent on");
+}
+
+#[test]
+fn failures_of_destinations_get_their_statuses() {
+    let (broken, _seen) =
+        destination(message, |_| Does::Say(b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n".to_vec()));
+    let failing = site("failing", &Shape { destinations: &[broken], ..Shape::default() });
+    assert_eq!(Client::connect(failing.listen).ask(&get("/v1/loans/7")).status(), 502);
+
+    let empty = site("empty", &Shape::default());
+    assert_eq!(Client::connect(empty.listen).ask(&get("/v1/loans/7")).status(), 503);
+    let refusing = site("refusing", &Shape { destinations: &[nobody()], ..Shape::default() });
+    assert_eq!(Client::connect(refusing.listen).ask(&get("/v1/loans/7")).status(), 503);
+
+    let (silent, _seen) = destination(message, |_| Does::Nothing);
+    let late = site("late", &Shape { destinations: &[silent], deadline_ms: 400, ..Shape::default() });
+    let begun = std::time::Instant::now();
+    assert_eq!(Client::connect(late.listen).ask(&get("/v1/loans/7")).status(), 504);
+    assert!(begun.elapsed().as_millis() < 400, "{:?}", begun.elapsed());
+}
+
+#[test]
+fn only_classes_that_are_safe_to_repeat_are_tried_again() {
+    let (breaks, broken) = destination(message, |_| Does::Close);
+    let (other, others) = destination(message, |_| Does::Close);
+    let site = site("repeat", &Shape { destinations: &[breaks, other], ..Shape::default() });
+    let count = || all_asked(&broken).len() + all_asked(&others).len();
+    let notice = "POST /v1/loans/7 HTTP/1.1\r\nHost: a\r\nX-Lender: al-noor\r\nContent-Length: 0\r\n\r\n";
+    assert_eq!(Client::connect(site.listen).ask(notice).status(), 502);
+    assert_eq!(count(), 1, "it may have run");
+    assert_eq!(Client::connect(site.listen).ask(&get("/v1/loans/7")).status(), 502);
+    assert_eq!(count(), 2, "once at each destination");
+}
+
+#[test]
+fn connections_are_kept_and_pipelined_requests_answered_in_order() {
+    let (at, _seen) = serving();
+    let site = site("keep", &Shape { destinations: &[at], ..Shape::default() });
+    let mut client = Client::connect(site.listen);
+    client.send((get("/v1/loans/1") + &get("/v1/loans/2") + &get("/none") + &get("/v1/loans/3")).as_bytes());
+    let statuses = [client.answer(), client.answer(), client.answer(), client.answer()];
+    assert_eq!(statuses[0].text(), "GET /v1/loans/1 HTTP/1.1");
+    assert_eq!(statuses[1].text(), "GET /v1/loans/2 HTTP/1.1");
+    assert_eq!(statuses[2].status(), 404);
+    assert_eq!(statuses[3].text(), "GET /v1/loans/3 HTTP/1.1");
+    let last = client.ask(&get("/v1/loans/4").replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n"));
+    assert_eq!((last.status(), last.field("connection")), (200, Some("close")));
+    assert!(client.ended());
+}
+
+#[test]
+fn a_client_that_waits_for_100_continue_gets_it_and_head_has_no_body() {
+    let (at, seen) = destination(message, |request| {
+        let head = request.first.starts_with("HEAD");
+        Does::Say(if head { b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n".to_vec() } else { ok("hello") })
+    });
+    let site = site("continue", &Shape { destinations: &[at], ..Shape::default() });
+    let mut client = Client::connect(site.listen);
+    client.send(b"POST /v1/loans/7 HTTP/1.1\r\nHost: a\r\nX-Lender: al-noor\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+    assert_eq!(message_head(&mut client.reads).expect("an interim answer").status(), 100);
+    assert_eq!(client.ask("hi").text(), "hello");
+    assert_eq!(asked(&seen).body, b"hi");
+    client.send(get("/v1/loans/7").replace("GET", "HEAD").as_bytes());
+    let head = message_head(&mut client.reads).expect("an answer");
+    assert_eq!((head.status(), head.field("content-length")), (200, Some("5")));
+    assert_eq!(client.ask(&get("/v1/loans/7")).text(), "hello");
+}
+
+#[test]
+fn a_client_that_leaves_ends_its_operation() {
+    let (at, seen) = destination(message, |_| Does::Nothing);
+    let site = site("leaves", &Shape { destinations: &[at], ..Shape::default() });
+    let mut client = Client::connect(site.listen);
+    client.send(get("/v1/loans/7").as_bytes());
+    asked(&seen);
+    drop(client);
+    assert!(matches!(next(&seen), Seen::GivenUp));
+}
+
+#[test]
+fn critical_and_deregistered_instances_drain_and_new_ones_serve() {
+    let (old, old_seen) = serving();
+    let (new, new_seen) = serving();
+    let site = site("consul", &Shape { destinations: &[old], ..Shape::default() });
+    let ask = || Client::connect(site.listen).ask(&get("/v1/loans/7")).status();
+    assert_eq!(ask(), 200);
+    asked(&old_seen);
+    site.consul.set(11, |instances| {
+        instances[0].2 = false;
+        instances.push(("loans-new".into(), new, true));
+    });
+    // An idle connection is let go of once the change has been heard; the new one comes with it or just after.
+    assert!(matches!(next(&old_seen), Seen::Ended));
+    site.program.logged("consul: 2 instances, 1 of them passing");
+    assert_eq!(ask(), 200);
+    asked(&new_seen);
+    site.consul.set(12, |instances| drop(instances.remove(0)));
+    site.program.logged("consul: 1 instances, 1 of them passing");
+    assert_eq!(ask(), 200);
+    assert!(all_asked(&old_seen).is_empty(), "nothing more went to the one that was critical");
+    site.consul.set(13, Vec::clear);
+    site.program.logged("consul: 0 instances, 0 of them passing");
+    assert_eq!(ask(), 503);
+}
+
+#[test]
+fn an_outage_of_consul_keeps_the_last_list_and_a_lower_index_starts_anew() {
+    let (at, _seen) = serving();
+    let (new, new_seen) = serving();
+    let site = site("outage", &Shape { destinations: &[at], ..Shape::default() });
+    let ask = || Client::connect(site.listen).ask(&get("/v1/loans/7")).status();
+    // Both queries come first without an index and then block with the one they were given.
+    let mut first: Vec<String> = (0..4).map(|_| next(&site.asked)).collect();
+    first.sort();
+    assert_eq!(
+        first,
+        [
+            "/v1/catalog/service/loan-server",
+            "/v1/catalog/service/loan-server?index=10&wait=30000ms",
+            "/v1/health/service/loan-server?passing=true",
+            "/v1/health/service/loan-server?passing=true&index=10&wait=30000ms",
+        ]
+    );
+    site.consul.change(|state| state.down = true);
+    site.program.logged("the last list stays");
+    assert_eq!(ask(), 200);
+    // It is back from a snapshot: the index went backwards, and another instance took over.
+    site.consul.change(|state| {
+        (state.down, state.index) = (false, 5);
+        state.instances = vec![("loans-new".into(), new, true)];
+    });
+    site.program.logged("consul: 1 instances, 1 of them passing");
+    while all_asked(&new_seen).is_empty() {
+        assert_eq!(ask(), 200);
+    }
+}
+
+#[test]
+fn an_index_that_goes_backwards_is_not_waited_on() {
+    let (at, _seen) = serving();
+    let site = site("backwards", &Shape { destinations: &[at], ..Shape::default() });
+    (0..4).for_each(|_| drop(next(&site.asked)));
+    site.consul.set(3, |_| {});
+    // Each of the two: one query without an index, then one that waits on the new index.
+    let mut targets: Vec<String> = (0..4).map(|_| next(&site.asked)).collect();
+    targets.sort();
+    assert_eq!(targets.iter().filter(|t| t.contains("index=3&")).count(), 2, "{targets:?}");
+    assert_eq!(targets.iter().filter(|t| !t.contains("index=")).count(), 2, "{targets:?}");
+}
+
+#[test]
+fn what_cannot_be_honoured_is_refused_at_load() {
+    let folder = Folder::new("load");
+    let with = |descriptions: &[&str]| {
+        let names: Vec<String> = (0..descriptions.len()).map(|i| format!("\"d{i}.json\"")).collect();
+        for (i, text) in descriptions.iter().enumerate() {
+            folder.write(&format!("d{i}.json"), text);
+        }
+        let text = file(nobody(), nobody(), &Shape::default()).replace("\"loans.json\"", &names.join(", "));
+        run(&["check", &folder.write("openapi.toml", &text)], &[])
+    };
+    let (succeeded, said) = with(&[LOANS]);
+    assert!(succeeded && said.contains("5 routes, 2 lenders"), "{said}");
+    // An operation without a stated cost, by name.
+    let (succeeded, said) = with(&[&LOANS
+        .replace(r#""operationId": "schedule", "x-snowfield-units": 2.5"#, r#""operationId": "schedule""#)]);
+    assert!(!succeeded && said.contains("\"schedule\"") && said.contains("d0.json"), "{said}");
+    // Two descriptions that claim one route, the same up to the parameter's name; both are named.
+    let other = LOANS.replace("{loan}", "{number}").replace("/loans/all", "/loans/every");
+    let (succeeded, said) = with(&[LOANS, &other]);
+    assert!(!succeeded && said.contains("d0.json") && said.contains("d1.json"), "{said}");
+    assert!(said.contains("/v1/loans/{loan}") && said.contains("/v1/loans/{number}"), "{said}");
+    // A class that the file does not know, and a cost that no plan can hold.
+    let (succeeded, said) = with(&[&LOANS
+        .replace("\"notice\"}", "\"other\"}")
+        .replace("-class\": \"notice\"", "-class\": \"other\"")]);
+    assert!(!succeeded && said.contains("\"other\""), "{said}");
+    let (succeeded, said) = with(&[&LOANS.replace("\"x-snowfield-units\": 3", "\"x-snowfield-units\": 500")]);
+    assert!(!succeeded && said.contains("500 units"), "{said}");
+    // A file with a mistake.
+    let text = file(nobody(), nobody(), &Shape::default()).replace("plan = \"basic\"", "plan = \"gold\"");
+    let (succeeded, said) = run(&["serve", &folder.write("openapi.toml", &text)], &[]);
+    assert!(!succeeded && said.contains("gold"), "{said}");
+}
+
+#[test]
+fn the_console_lists_the_routes_of_the_file_that_is_shipped() {
+    let (succeeded, said) =
+        run(&["routes", concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/openapi.toml")], &[]);
+    assert!(succeeded, "{said}");
+    assert!(
+        said.contains("GET     /v1/loans/{loan}/schedule  units 8  class loan-lookup  schedule"),
+        "{said}"
+    );
+    let (succeeded, said) = run(&["nonsense"], &[]);
+    assert!(!succeeded && said.contains("snowfield serve FILE"), "{said}");
+}
