--- a/crates/destination/src/lib.rs
+++ b/crates/destination/src/lib.rs
@@ -111,6 +111,7 @@
 
 struct Connection<Q> {
     link: Link,
+    to: SocketAddr,
     job: Mutex<Option<(StepId, Arc<Q>)>>,
 }
 
@@ -201,7 +202,7 @@
     fn run_connection(&self, step: RouteStep<P::Query>, to: SocketAddr) {
         let begun = Instant::now();
         let link = Link::connect(to, self.limits.connect);
-        let connection = link.map(|link| Arc::new(Connection { link, job: Mutex::new(None) }));
+        let connection = link.map(|link| Arc::new(Connection { link, to, job: Mutex::new(None) }));
         let wanted = {
             let mut state = locked(&self.state);
             // A destination that drained or went while the connection was made gets nothing new.
@@ -267,11 +268,8 @@
         loop {
             let incoming = connection.link.receive(&mut buffer, READ);
             let end = !matches!(incoming, Ok(Incoming::Bytes(_) | Incoming::Woken));
-            let job = locked(&connection.job).clone();
-            let Some((id, query)) = job else {
-                // Nothing was asked: the destination has closed, or speaks out of turn.
-                break;
-            };
+            // Without a job nothing was asked: the destination has closed, or speaks out of turn.
+            let Some((id, query)) = locked(&connection.job).clone() else { break };
             let reading =
                 if incoming.is_err() { Reading::More } else { self.protocol.read(&query, &buffer, end) };
             match reading {
@@ -292,25 +290,20 @@
                     self.exchange().step_ended(id, step_end);
                 }
                 Reading::More if !end && buffer.len() <= self.limits.answer => {}
-                // Broken before the request's last byte was written: it never ran. After that it may have.
-                _ => {
-                    let unsent = connection.link.unsent() > 0;
-                    self.broke(connection, if unsent { Outcome::ConnectFailed } else { Outcome::Reset });
-                    break;
-                }
+                _ => break,
             }
         }
+        // Broken before the request's last byte was written: it never ran. After that it may have.
+        let outcome = if connection.link.unsent() > 0 { Outcome::ConnectFailed } else { Outcome::Reset };
         connection.link.close();
-        let mut state = locked(&self.state);
-        state.open -= 1;
-        if let Some(pool) = state.pools.get_mut(&destination) {
-            pool.idle.retain(|(idle, _)| !Arc::ptr_eq(idle, connection));
+        {
+            let mut state = locked(&self.state);
+            state.open -= 1;
+            if let Some(pool) = state.pools.get_mut(&destination) {
+                pool.idle.retain(|(idle, _)| !Arc::ptr_eq(idle, connection));
+            }
         }
-    }
-
-    /// The connection is of no more use; what it carried has ended.
-    fn broke(&self, connection: &Connection<P::Query>, outcome: Outcome) {
-        connection.link.close();
+        // Closed before this look, so a step that another thread began here meanwhile is not left without an end.
         let job = locked(&connection.job).take();
         if let Some((id, _)) = job {
             locked(&self.state).busy.remove(&id);
@@ -320,7 +313,9 @@
 
     fn keep(&self, destination: u32, connection: &Arc<Connection<P::Query>>) {
         let mut state = locked(&self.state);
-        match state.pools.get_mut(&destination).filter(|p| p.place.state == State::Ready) {
+        let fits =
+            |p: &&mut Pool<P::Query>| p.place.state == State::Ready && p.place.address == connection.to;
+        match state.pools.get_mut(&destination).filter(fits) {
             Some(pool) => pool.idle.push((connection.clone(), Instant::now())),
             None => connection.link.close(),
         }
--- /dev/null
+++ b/crates/destination/tests/resp.rs
@@ -0,0 +1,78 @@
+//! What a destination's RESP2 answers mean.
+
+use cuts::{same_however_cut, survives_garbage};
+use destination::{Protocol, Reading, RespDestination};
+use dewproxy::interface::{Load, Outcome};
+use resp::Query;
+
+fn destination() -> RespDestination {
+    RespDestination { columns: vec![Load::Active, Load::Waiting, Load::ServiceMs] }
+}
+
+fn query() -> Query {
+    Query::new(b"$3\r\nd=9\r\n".to_vec(), 4..7).expect("it has a wait")
+}
+
+type End = (Outcome, Option<Vec<u8>>, Vec<f32>);
+
+/// The end that the bytes tell and what they took; `Err` where none can come, `None` where more must.
+fn read(bytes: &[u8]) -> Option<Result<(usize, End), &'static str>> {
+    match destination().read(&query(), bytes, false) {
+        Reading::More => None,
+        Reading::Whole { used, end, .. } => Some(Ok((used, (end.outcome, end.answer, end.load)))),
+        Reading::Malformed(text) => Some(Err(text)),
+    }
+}
+
+#[test]
+fn each_form_of_answer_has_its_outcome() {
+    let load = vec![7.0, 2.0, 51.5];
+    for (bytes, outcome, answer, load) in [
+        (
+            "*3\r\n$2\r\nhi\r\n$-1\r\n$33\r\ninflight=7,queue=2,latency_ms=51.5\r\n",
+            Outcome::Ok,
+            Some("$2\r\nhi\r\n"),
+            vec![],
+        ),
+        (
+            "*3\r\n$2\r\nhi\r\n$-1\r\n$34\r\ninflight=7,queue=2,latency_ms=51.5\r\n",
+            Outcome::Ok,
+            Some("$2\r\nhi\r\n"),
+            load.clone(),
+        ),
+        ("*3\r\n$0\r\n\r\n*-1\r\n*-1\r\n", Outcome::Ok, Some("$0\r\n\r\n"), vec![]),
+        ("*1\r\n$1\r\nx\r\n", Outcome::Ok, Some("$1\r\nx\r\n"), vec![]),
+        ("-ERR failed\r\n", Outcome::Error, None, vec![]),
+        ("-ERR failed inflight=7,queue=2,latency_ms=51.5\r\n", Outcome::Error, None, load.clone()),
+        ("-BUSY\r\n", Outcome::Full, None, vec![]),
+        ("-BUSY inflight=7,queue=2,latency_ms=51.5\r\n", Outcome::Full, None, load),
+        ("-BUSYNESS\r\n", Outcome::Error, None, vec![]),
+    ] {
+        let got = read(bytes.as_bytes());
+        if bytes.contains("$33") {
+            // Its frame is a byte too short: no answer can come of it.
+            assert!(matches!(got, Some(Err(_))), "{bytes:?}: {got:?}");
+            continue;
+        }
+        let answer = answer.map(|a| a.as_bytes().to_vec());
+        assert_eq!(got, Some(Ok((bytes.len(), (outcome, answer, load)))), "{bytes:?}");
+    }
+    for bytes in ["+OK\r\n", ":1\r\n", "*0\r\n", "*1\r\n:1\r\n", "$2\r\nhi\r\n"] {
+        assert!(matches!(read(bytes.as_bytes()), Some(Err(_))), "{bytes:?}");
+    }
+}
+
+#[test]
+fn an_answer_is_the_same_however_it_is_cut_and_garbage_is_no_panic() {
+    let bytes = b"*3\r\n$2\r\nhi\r\n*2\r\n$1\r\na\r\n:3\r\n$34\r\ninflight=7,queue=2,latency_ms=51.5\r\n";
+    let first = |pieces: &[&[u8]]| {
+        let mut buffer = Vec::new();
+        pieces.iter().find_map(|piece| {
+            buffer.extend_from_slice(piece);
+            read(&buffer)
+        })
+    };
+    assert!(matches!(first(&[bytes]), Some(Ok((used, _))) if used == bytes.len()));
+    same_however_cut(bytes, first);
+    survives_garbage(bytes, |pieces| drop(first(pieces)));
+}
--- a/crates/exchange/src/core.rs
+++ b/crates/exchange/src/core.rs
@@ -339,3 +339,7 @@
         Status { unanswered: self.unanswered(), ..self.status.clone() }
     }
 }
+
+#[cfg(test)]
+#[path = "core_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/http/tests/cuts.rs
@@ -0,0 +1,109 @@
+//! Random cuts and garbage against the framing.
+
+use cuts::{same_however_cut, survives_garbage};
+use snowfield_http::{self as http, Body, Chunks, Refusal};
+
+const REQUESTS: &[u8] = b"POST /a?b HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nX-One: two\r\n\r\nabc\
+    POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\nde\r\n1\r\nf\r\n0\r\nT: r\r\n\r\n\
+    GET /d HTTP/1.1\r\nHost: h\r\n\r\n";
+const ANSWERS: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi\
+    HTTP/1.1 404 Not Found\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n\
+    HTTP/1.1 204 No Content\r\n\r\n";
+const CHUNKS: &[u8] = b"5\r\nhello\r\nA;name=value\r\n0123456789\r\n0\r\nTrailer: x\r\nOther: y\r\n\r\nrest";
+
+type Requests = (Vec<(Vec<u8>, Vec<u8>)>, Option<Refusal>);
+
+/// All requests as target and body, and the refusal at the end if there is one.
+fn requests(pieces: &[&[u8]]) -> Requests {
+    let (mut buffer, mut all, mut reading) = (Vec::new(), Vec::new(), None);
+    for piece in pieces {
+        buffer.extend_from_slice(piece);
+        loop {
+            if reading.is_none() {
+                match http::request_head(&buffer) {
+                    Ok(Some(head)) => {
+                        let target = buffer[head.target.clone()].to_vec();
+                        buffer.drain(..head.end);
+                        match Body::new(head.framing, 1000) {
+                            Ok(body) => reading = Some((target, body)),
+                            Err(refusal) => return (all, Some(refusal)),
+                        }
+                    }
+                    Ok(None) => break,
+                    Err(refusal) => return (all, Some(refusal)),
+                }
+            }
+            let Some((target, mut body)) = reading.take() else { break };
+            match body.take(&mut buffer) {
+                Ok(true) => all.push((target, body.bytes)),
+                Ok(false) => {
+                    reading = Some((target, body));
+                    break;
+                }
+                Err(refusal) => return (all, Some(refusal)),
+            }
+        }
+    }
+    (all, None)
+}
+
+fn answers(pieces: &[&[u8]]) -> (Vec<(u16, Vec<u8>)>, Option<Refusal>) {
+    let (mut buffer, mut all) = (Vec::new(), Vec::new());
+    for piece in pieces {
+        buffer.extend_from_slice(piece);
+        loop {
+            match http::answer(&buffer, false, false) {
+                Ok(Some((answer, used, _))) => {
+                    all.push((answer.status, answer.body));
+                    buffer.drain(..used);
+                }
+                Ok(None) => break,
+                Err(refusal) => return (all, Some(refusal)),
+            }
+        }
+    }
+    (all, None)
+}
+
+fn chunks(pieces: &[&[u8]]) -> (Result<(), Refusal>, Vec<u8>, bool) {
+    let (mut chunks, mut buffer, mut out) = (Chunks::default(), Vec::new(), Vec::new());
+    for piece in pieces {
+        buffer.extend_from_slice(piece);
+        match chunks.decode(&buffer, 0, &mut out) {
+            Ok(used) => drop(buffer.drain(..used)),
+            Err(refusal) => return (Err(refusal), out, false),
+        }
+    }
+    (Ok(()), out, chunks.is_done())
+}
+
+#[test]
+fn messages_are_the_same_however_they_are_cut() {
+    let (whole, refusal) = requests(&[REQUESTS]);
+    assert_eq!(refusal, None);
+    let told: Vec<(&[u8], &[u8])> = whole.iter().map(|(t, b)| (&t[..], &b[..])).collect();
+    assert_eq!(told, [(&b"/a?b"[..], &b"abc"[..]), (b"/c", b"def"), (b"/d", b"")]);
+    same_however_cut(REQUESTS, requests);
+    assert_eq!(answers(&[ANSWERS]).0, [(200, b"hi".to_vec()), (404, b"abc".to_vec()), (204, vec![])]);
+    same_however_cut(ANSWERS, answers);
+    assert_eq!(chunks(&[CHUNKS]), (Ok(()), b"hello0123456789".to_vec(), true));
+    same_however_cut(CHUNKS, chunks);
+}
+
+#[test]
+fn garbage_is_refused_without_a_panic() {
+    survives_garbage(REQUESTS, |pieces| drop(requests(pieces)));
+    survives_garbage(ANSWERS, |pieces| drop(answers(pieces)));
+    survives_garbage(CHUNKS, |pieces| drop(chunks(pieces)));
+}
+
+#[test]
+fn an_answer_that_ends_with_its_connection_is_whole_only_then() {
+    let bytes = b"HTTP/1.1 200 OK\r\n\r\nall of it";
+    assert_eq!(http::answer(bytes, false, false), Ok(None));
+    let (answer, used, keep) = http::answer(bytes, false, true).unwrap().unwrap();
+    assert_eq!((&answer.body[..], used, keep), (&b"all of it"[..], bytes.len(), false));
+    for cut in [&b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc"[..], b"HTTP/1.1 200", b""] {
+        assert!(http::answer(cut, false, true).is_err(), "cut short: {cut:?}");
+    }
+}
