Keep sleeping coroutines on the worker, and run timers due within one tick together

Seen: may's timer thread resumes a coroutine after a sleep, so discovery and Consul went on beside the worker until their next wait. link::sleep now parks without a time-out and is woken by a thread of its own (link/src/alarm.rs).

The clock's thread woke up to four times for each operation (deadline, second copy, the module's own timers). Timers now run at most one tick of the module (4 ms) late and those due together run together; the front's margin of 10 ms and the module's of two ticks cover that.

Also: the fronts' trait for closing is gone (duplicates showed it twice), and a discovery link that is silent for 4.5 s is closed, so that the new one brings the list within the 6 s after which it counts as told.

--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 /// The agent writes at least an empty line in 2 s; a link without any for this long is dead.
-const SILENCE: Duration = Duration::from_millis(5_000);
+const SILENCE: Duration = Duration::from_millis(4_500);
 const CONNECT: Duration = Duration::from_millis(500);
 /// Between two connections.
 const PAUSE: Duration = Duration::from_millis(200);
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -163,6 +163,8 @@
 /// Where the front and the destination side meet.
 pub struct Exchange<Q, A> {
     clock: Clock,
+    /// Timers that are due within this span of each other may run together: the module's own tick.
+    grain: Micros,
     core: Mutex<core::Core<Q, A>>,
     destinations: OnceLock<Arc<dyn Destinations<Q>>>,
     counter: OnceLock<Arc<dyn QuotaCounter>>,
@@ -176,9 +178,10 @@
     ///
     /// The settings cannot be used.
     pub fn new(settings: Settings, seed: u64, clock: Clock) -> Result<Arc<Self>, SettingsError> {
+        let grain = settings.tick;
         let core = Mutex::new(core::Core::new(settings, seed, clock.now())?);
         let (destinations, counter, waker) = (OnceLock::new(), OnceLock::new(), OnceLock::new());
-        Ok(Arc::new(Self { clock, core, destinations, counter, waker }))
+        Ok(Arc::new(Self { clock, grain, core, destinations, counter, waker }))
     }
 
     /// Names the two sides that carry out what the module asks for.
@@ -225,13 +228,14 @@
         });
     }
 
-    /// Runs the timers that are due and tells how long until the next, if there is one.
+    /// Runs the timers that are due and tells how long until it is to be called again, if any timer is set. No timer runs
+    /// more than a tick of the module late, and many run together.
     pub fn run_due(&self) -> Option<Micros> {
         self.drive(core::Core::run_due);
         let mut core = self.lock();
-        let next = core.timers.next();
-        core.awake_at = next;
-        next.map(|at| at.saturating_sub(self.clock.now()))
+        let now = self.clock.now();
+        core.awake_at = core.timers.next().map(|at| at.max(now + self.grain));
+        core.awake_at.map(|at| at - now)
     }
 
     /// What is in hand, for the console.
@@ -258,7 +262,7 @@
         let mut core = self.lock();
         change(&mut core, self.clock.now());
         let next = core.timers.next();
-        if next.is_some_and(|at| core.awake_at.is_none_or(|awake| at < awake)) {
+        if next.is_some_and(|at| core.awake_at.is_none_or(|awake| at + self.grain < awake)) {
             core.awake_at = next;
             if let Some(waker) = self.waker.get() {
                 waker();
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -3,6 +3,9 @@
 //! All sockets of the program are driven by one `may` worker. Each [`Link`] has one coroutine that waits on it; any
 //! other coroutine or thread may queue bytes on it, wake it or close it without ever waiting.
 
+mod alarm;
+
+pub use alarm::sleep;
 use may::coroutine::{Builder, JoinHandle};
 use may::io::WaitIo;
 use may::net::{TcpListener, TcpStream};
@@ -40,7 +43,7 @@
 #[allow(unsafe_code)]
 pub fn spawn_with<F: FnOnce() + Send + 'static>(stack: usize, f: F) -> JoinHandle<()> {
     // SAFETY: `may` asks for two things. No coroutine here keeps a reference into thread-local storage over a point
-    // where it waits, so it may go on in another thread (as it does after a sleep). Each stack ends in a guard page and is
+    // where it waits, and with one worker none ever moves to another thread. Each stack ends in a guard page and is
     // far larger than what runs on it: parsers don't recurse, and JSON is read on `LARGE_STACK`.
     unsafe { Builder::new().stack_size(words(stack)).spawn(f) }.expect("memory for a coroutine's stack")
 }
@@ -267,7 +270,7 @@
                 // A shut listener says so with this; all other errors concern one connection or pass by.
                 Err(e) if e.kind() == ErrorKind::InvalidInput => return None,
                 // Out of descriptors: others must close before this can go on.
-                Err(_) => may::coroutine::sleep(Duration::from_millis(5)),
+                Err(_) => sleep(Duration::from_millis(5)),
             }
         }
     }
@@ -278,9 +281,3 @@
         let _ = socket2::SockRef::from(self.0.inner()).shutdown(Shutdown::Both);
     }
 }
-
-/// Lets other coroutines run for this long. The coroutine may go on in `may`'s timer thread until it next waits, which
-/// is why all shared state is behind locks.
-pub fn sleep(span: Duration) {
-    may::coroutine::sleep(span);
-}
--- a/crates/settings/src/appliance.rs
+++ b/crates/settings/src/appliance.rs
@@ -266,6 +266,7 @@
         let settings = module::Settings {
             gateways: self.quota.gatekeepers,
             me: self.quota.number,
+            tick: 4_000,
             classes: self.classes.iter().map(class).collect(),
             plans: self.plans.iter().map(plan).collect(),
             max_attempts: self.limits.route_steps,
--- a/crates/snowfield/src/appliance.rs
+++ b/crates/snowfield/src/appliance.rs
@@ -1,6 +1,6 @@
 //! The appliance: the OpenAPI front, Consul and the console's status.
 
-use crate::signals::{self, Closing};
+use crate::signals;
 use consul::{Health, Instance, Watch, Watched};
 use counter::CounterClient;
 use destination::{HttpDestination, Limits, Place, Pools};
@@ -70,20 +70,10 @@
     link::set_up();
     let longest = file.classes.iter().map(|c| c.deadline_ms).max().unwrap_or(0);
     let (front, door) = start(file, table)?;
-    signals::serve_until(caught, &*front, &door, Duration::from_millis(longest));
+    signals::serve_until(caught, &door, Duration::from_millis(longest), || front.close(), || front.open());
     Ok(())
 }
 
-impl Closing for Front {
-    fn close(&self) {
-        Front::close(self);
-    }
-
-    fn open(&self) -> usize {
-        Front::open(self)
-    }
-}
-
 fn start(file: Appliance, table: RouteTable) -> Result<(Arc<Front>, Arc<Door>), String> {
     let largest = table.routes().iter().map(|r| r.units).fold(0.0, f64::max);
     let settings = file.settings(largest).map_err(|e| e.to_string())?;
--- a/crates/snowfield/src/platform.rs
+++ b/crates/snowfield/src/platform.rs
@@ -1,7 +1,7 @@
 //! One gatekeeper on the platform: its configuration, the RESP2 front, discovery and the counter.
 
 use crate::hosts::Hosts;
-use crate::signals::{self, Closing};
+use crate::signals;
 use counter::CounterClient;
 use destination::{Limits, Pools, RespDestination};
 use dewproxy::interface::ListKind;
@@ -28,20 +28,10 @@
     link::set_up();
     let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
     let (front, door) = start(config)?;
-    signals::serve_until(caught, &*front, &door, Duration::from_micros(longest));
+    signals::serve_until(caught, &door, Duration::from_micros(longest), || front.close(), || front.open());
     Ok(())
 }
 
-impl Closing for Front {
-    fn close(&self) {
-        Front::close(self);
-    }
-
-    fn open(&self) -> usize {
-        Front::open(self)
-    }
-}
-
 fn start(config: Config) -> Result<(Arc<Front>, Arc<Door>), String> {
     let clock = Clock::start();
     let sockets = config.sockets.saturating_sub(SPARE_SOCKETS).max(16);
--- a/crates/snowfield/src/signals.rs
+++ b/crates/snowfield/src/signals.rs
@@ -10,14 +10,6 @@
 /// Past the longest deadline nothing can be unanswered.
 const LAST_CALL: Duration = Duration::from_millis(300);
 
-/// A front that can be closed.
-pub trait Closing {
-    /// Closes every front socket as soon as it is between requests.
-    fn close(&self);
-    /// Front sockets that are open.
-    fn open(&self) -> usize;
-}
-
 /// Signals are caught from here on, so that one during the start is not lost.
 ///
 /// # Errors
@@ -27,16 +19,23 @@
     Signals::new([SIGTERM, SIGINT]).map_err(|e| format!("signals: {e}"))
 }
 
-/// Waits for a signal and ends in good order.
-pub fn serve_until(mut signals: Signals, front: &impl Closing, door: &Door, longest: Duration) {
+/// Waits for a signal and ends in good order. `close` has the front close each socket once it is between requests, and
+/// `open` tells how many are left; none can have work after `longest`.
+pub fn serve_until(
+    mut signals: Signals,
+    door: &Door,
+    longest: Duration,
+    close: impl Fn(),
+    open: impl Fn() -> usize,
+) {
     let signal = signals.forever().next();
     println!("signal {}: serving the overlap, then finishing", signal.unwrap_or(0));
     std::thread::sleep(OVERLAP);
     door.shut();
-    front.close();
+    close();
     let begun = Instant::now();
-    while front.open() > 0 && begun.elapsed() < longest + LAST_CALL {
+    while open() > 0 && begun.elapsed() < longest + LAST_CALL {
         std::thread::sleep(Duration::from_millis(5));
     }
-    println!("stopped with {} front sockets open", front.open());
+    println!("stopped with {} front sockets open", open());
 }
