Bound slow requests by the file, tighten the RESP2 buffers, check the on-call page by a test

The socket now looks at its own time.

A RESP2 message holds 128 KiB, a front socket 64 waiting commands and 256 KiB unread, so that full tables of sockets stay inside 192 MB. `snowfield watch FILE` shows the status anew each second. A test looks up each log line of the sources on the on-call page.

--- a/crates/front_openapi/src/lib.rs
+++ b/crates/front_openapi/src/lib.rs
@@ -21,8 +21,6 @@
 const READ: usize = 16 * 1024;
 /// Bytes that a client may send ahead while a request of its is in hand.
 const MOST_AHEAD: usize = 64 * 1024;
-/// A request must be whole, and an answer taken, in this span.
-const PATIENCE: Duration = Duration::from_secs(10);
 /// A front socket that is idle for this long is closed.
 const IDLE: Duration = Duration::from_secs(75);
 /// us; an answer leaves this long before the deadline, for the timers' grain.
@@ -61,6 +59,8 @@
     pub largest_body: usize,
     /// The most front sockets.
     pub most_sockets: usize,
+    /// A request must be whole, and an answer taken, in this span.
+    pub patience: Duration,
 }
 
 /// The front with all its sockets.
@@ -76,8 +76,6 @@
 struct FrontSocket {
     link: Link,
     phase: Mutex<(Phase, Instant)>,
-    /// The request did not become whole in time.
-    late: AtomicBool,
     answer: Mutex<Option<FinalAnswer<Answer>>>,
 }
 
@@ -142,8 +140,7 @@
     pub fn run(self: &Arc<Self>, door: &Door) {
         while let Some(link) = door.accept() {
             let phase = Mutex::new((Phase::Idle, Instant::now()));
-            let (late, answer) = (AtomicBool::new(false), Mutex::new(None));
-            let socket = Arc::new(FrontSocket { link, phase, late, answer });
+            let socket = Arc::new(FrontSocket { link, phase, answer: Mutex::new(None) });
             {
                 let mut sockets = locked(&self.sockets);
                 sockets.retain(|s| s.strong_count() > 0);
@@ -178,11 +175,9 @@
             let (phase, since) = *locked(&socket.phase);
             match phase {
                 Phase::Idle if since.elapsed() > IDLE => socket.link.close(),
-                Phase::Reading if since.elapsed() > PATIENCE => {
-                    socket.late.store(true, Ordering::Release);
-                    socket.link.wake();
-                }
-                Phase::Finishing if since.elapsed() > PATIENCE => socket.link.close(),
+                // Woken, it looks at the time by itself.
+                Phase::Reading if since.elapsed() > self.setup.patience => socket.link.wake(),
+                Phase::Finishing if since.elapsed() > self.setup.patience => socket.link.close(),
                 _ => {}
             }
         }
@@ -251,14 +246,13 @@
         }
         match socket.link.receive(buffer, READ) {
             Ok(Incoming::Bytes(_)) => socket.enter(Phase::Reading),
-            Ok(Incoming::Woken) if socket.late.load(Ordering::Acquire) => {
-                return Err(Stop::Problem(Problem::new(
-                    408,
-                    "Request Timeout",
-                    "the request came too slowly",
-                )));
+            Ok(Incoming::Woken) => {
+                let (phase, since) = *locked(&socket.phase);
+                if phase == Phase::Reading && since.elapsed() > self.setup.patience {
+                    let detail = "the request came too slowly";
+                    return Err(Stop::Problem(Problem::new(408, "Request Timeout", detail)));
+                }
             }
-            Ok(Incoming::Woken) => {}
             Ok(Incoming::End) | Err(_) => return Err(Stop::Gone),
         }
         Ok(())
--- a/crates/front_resp/src/lib.rs
+++ b/crates/front_resp/src/lib.rs
@@ -13,9 +13,9 @@
 /// Bytes asked of the system in one read.
 const READ: usize = 8 * 1024;
 /// Commands of one front socket that may wait for answers; more get the busy reply at once.
-const MOST_WAITING: usize = 256;
+const MOST_WAITING: usize = 64;
 /// Bytes of answers that a client may leave unread before it is cut off.
-const MOST_UNREAD: usize = 4 * 1024 * 1024;
+const MOST_UNREAD: usize = 256 * 1024;
 /// us; an answer leaves this long before its client gives up, for the way back and the timers' grain.
 const MARGIN: u64 = 10_000;
 
--- a/crates/resp/src/lib.rs
+++ b/crates/resp/src/lib.rs
@@ -11,7 +11,7 @@
 /// The most items of one array, and the deepest nesting.
 pub const MOST_ITEMS: usize = 64;
 /// The most bytes of one message.
-pub const LARGEST_MESSAGE: usize = 256 * 1024;
+pub const LARGEST_MESSAGE: usize = 128 * 1024;
 /// The most bytes of a line.
 const LONGEST_LINE: usize = 1024;
 
--- a/crates/settings/src/appliance.rs
+++ b/crates/settings/src/appliance.rs
@@ -97,6 +97,8 @@
     pub idle_ms: u64,
     /// Route steps of one operation.
     pub route_steps: u32,
+    /// A request must be whole, and an answer taken, by then.
+    pub patience_ms: u64,
 }
 
 impl Default for Limits {
@@ -108,6 +110,7 @@
             connect_ms: 250,
             idle_ms: 15_000,
             route_steps: 3,
+            patience_ms: 10_000,
         }
     }
 }
--- a/crates/snowfield/src/appliance.rs
+++ b/crates/snowfield/src/appliance.rs
@@ -147,6 +147,7 @@
         set_size: f64::from(file.quota.gatekeepers),
         largest_body: file.limits.body_bytes,
         most_sockets,
+        patience: Duration::from_millis(file.limits.patience_ms),
     }
 }
 
--- a/crates/snowfield/src/console.rs
+++ b/crates/snowfield/src/console.rs
@@ -13,6 +13,7 @@
 snowfield check FILE    check FILE and its descriptions
 snowfield routes FILE   list the routes with their units and classes
 snowfield status FILE   show the live status of the program that serves FILE
+snowfield watch FILE    show it anew each second
 ";
 
 /// Checks a file and says what it holds.
@@ -57,6 +58,25 @@
 ///
 /// The file names no status address, or nobody answers there.
 pub fn status(path: &Path) -> Result<(), String> {
+    print!("{}", ask_status(path)?);
+    Ok(())
+}
+
+/// Shows the status anew each second, until interrupted.
+///
+/// # Errors
+///
+/// As [`status`].
+pub fn watch(path: &Path) -> Result<(), String> {
+    loop {
+        // Clears the terminal and goes to its corner.
+        print!("\x1b[2J\x1b[H{}", ask_status(path)?);
+        std::io::stdout().flush().map_err(|e| e.to_string())?;
+        std::thread::sleep(Duration::from_secs(1));
+    }
+}
+
+fn ask_status(path: &Path) -> Result<String, String> {
     let checked = appliance::check(path)?;
     let at = checked.file.status.ok_or_else(|| format!("{}: it names no status address", path.display()))?;
     let ask = || -> std::io::Result<String> {
@@ -68,7 +88,5 @@
         Ok(answer)
     };
     let answer = ask().map_err(|e| format!("{at}: {e}"))?;
-    let body = answer.split_once("\r\n\r\n").map_or("", |(_, body)| body);
-    print!("{body}");
-    Ok(())
+    Ok(answer.split_once("\r\n\r\n").map_or("", |(_, body)| body).to_owned())
 }
--- a/crates/snowfield/src/main.rs
+++ b/crates/snowfield/src/main.rs
@@ -18,6 +18,7 @@
         ["check", file] => console::check(file.as_ref()),
         ["routes", file] => console::routes(file.as_ref()),
         ["status", file] => console::status(file.as_ref()),
+        ["watch", file] => console::watch(file.as_ref()),
         ["help" | "--help" | "-h"] => {
             print!("{}", console::USAGE);
             Ok(())
--- a/crates/snowfield/tests/appliance.rs
+++ b/crates/snowfield/tests/appliance.rs
@@ -119,6 +119,7 @@
     quota: String,
     plan: &'a str,
     deadline_ms: u32,
+    patience_ms: u32,
 }
 
 impl Default for Shape<'_> {
@@ -128,6 +129,7 @@
             quota: String::new(),
             plan: "units_per_second = 100.0\nburst = 400.0",
             deadline_ms: 2500,
+            patience_ms: 10_000,
         }
     }
 }
@@ -155,6 +157,7 @@
 {quota}
 [limits]
 body_bytes = 1000
+patience_ms = {patience}
 [[class]]
 name = "lookup"
 repeat = "safe"
@@ -177,6 +180,7 @@
 "#,
         quota = shape.quota,
         deadline = shape.deadline_ms,
+        patience = shape.patience_ms,
         plan = shape.plan
     )
 }
@@ -421,6 +425,19 @@
     assert!(matches!(next(&seen), Seen::GivenUp));
 }
 
+/// Guards against clients that hold sockets by sending a request byte by byte, or not at all.
+#[test]
+fn a_request_that_comes_too_slowly_gets_408_and_idle_sockets_stay() {
+    let (at, _seen) = serving();
+    let site = site("slow", &Shape { destinations: &[at], patience_ms: 1, ..Shape::default() });
+    let mut idle = Client::connect(site.listen);
+    assert_eq!(idle.ask(&get("/v1/loans/7")).status(), 200);
+    let mut slow = Client::connect(site.listen);
+    slow.send(b"GET /v1/loans/7 HTTP/1.1\r\nHost:");
+    assert_eq!(slow.answer().status(), 408);
+    assert_eq!(idle.ask(&get("/v1/loans/7")).status(), 200);
+}
+
 #[test]
 fn critical_and_deregistered_instances_drain_and_new_ones_serve() {
     let (old, old_seen) = serving();
--- /dev/null
+++ b/crates/snowfield/tests/oncall.rs
@@ -0,0 +1,33 @@
+//! Each line that the program may log is on the on-call page.
+
+use std::path::Path;
+
+/// The longest part of a format string that is the same in every line.
+fn constant(format: &str) -> &str {
+    let parts = format.split('{').map(|part| part.split_once('}').map_or(part, |(_, rest)| rest));
+    parts.max_by_key(|part| part.len()).unwrap_or_default().trim()
+}
+
+#[test]
+fn each_log_line_is_explained() {
+    let crates = Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/.."));
+    let page = std::fs::read_to_string(crates.join("../docs/ONCALL.md")).expect("the page");
+    let mut lines = 0;
+    for folder in crates.read_dir().expect("the crates").flatten() {
+        for file in folder.path().join("src").read_dir().expect("a crate's sources").flatten() {
+            // What the console shows is no log.
+            if file.file_name() == "console.rs" {
+                continue;
+            }
+            let source = std::fs::read_to_string(file.path()).expect("a source");
+            for call in source.split("println!(").skip(1) {
+                let Some(format) = call.trim_start().strip_prefix('"') else { continue };
+                let text = constant(format.split('"').next().unwrap_or_default());
+                let begin = text.split([';', '(']).find(|part| part.len() > 3).unwrap_or(text).trim();
+                assert!(page.contains(begin), "{}: {begin:?}", file.path().display());
+                lines += 1;
+            }
+        }
+    }
+    assert!(lines > 10, "only {lines} lines were found");
+}
