--- a/crates/snowfield/tests/platform.rs
+++ b/crates/snowfield/tests/platform.rs
@@ -301,6 +301,15 @@
     assert_eq!(request, "GET /discovery/hosts?stream=1&index=47 HTTP/1.1");
 }
 
+/// Guards against a link that was cut: nothing is said there, not even the empty lines, and no end comes.
+#[test]
+fn a_silent_watch_is_given_up_and_comes_back_at_the_last_version() {
+    let site = site("silent", &Shape::default());
+    let (request, _watch) = next(&site.agent.watches);
+    assert_eq!(request, "GET /discovery/hosts?stream=1&index=40 HTTP/1.1");
+    site.program.logged("the watch ended");
+}
+
 #[test]
 fn after_sigterm_what_was_taken_is_answered_and_then_the_socket_ends() {
     let (release, word) = channel();
