Reload on SIGHUP: discovery and the counter move, nothing in hand is lost

Checked: signals.rs caught SIGTERM and SIGINT only, so the default action of SIGHUP ended the program. Ruled out: a crash of the program's own, the exit code is the signal's. At fault: signals.rs catch(); and neither discovery::Watch nor CounterClient could change its address. Now SIGHUP is caught before the file is read the first time. The main thread, which is no worker, reads the file anew. The watch closes its old link and asks the new agent from the version it has. A file that cannot be used is logged and changes nothing. The OpenAPI front logs SIGHUP and serves on.

--- a/crates/counter/src/lib.rs
+++ b/crates/counter/src/lib.rs
@@ -28,9 +28,11 @@
 /// The client of one counter.
 pub struct CounterClient {
     me: Weak<Self>,
-    address: SocketAddr,
+    address: Mutex<SocketAddr>,
     told: Told,
     lanes: [Mutex<Lane>; LANES],
+    /// Connections to addresses from before, with calls out.
+    retired: Mutex<Vec<Weak<Connection>>>,
 }
 
 #[derive(Default)]
@@ -42,15 +44,54 @@
 
 struct Connection {
     link: Link,
-    /// Calls written and not answered, oldest first.
-    out: Mutex<VecDeque<u64>>,
+    out: Mutex<CallsOut>,
     heard: Mutex<Instant>,
 }
 
+#[derive(Default)]
+struct CallsOut {
+    /// Calls written and not answered, oldest first.
+    calls: VecDeque<u64>,
+    /// The counter has moved: no more calls go out here, and the connection ends with the last answer.
+    retired: bool,
+}
+
+/// What became of a call that was to be written.
+enum Write {
+    Written,
+    /// Nothing of it was written: it was not added.
+    Failed,
+    /// Nothing of it was written, and another connection will carry it.
+    Retired,
+}
+
 impl CounterClient {
     /// A client that connects with its first call.
     pub fn new(address: SocketAddr, told: Told) -> Arc<Self> {
-        Arc::new_cyclic(|me| Self { me: me.clone(), address, told, lanes: Default::default() })
+        let address = Mutex::new(address);
+        Arc::new_cyclic(|me| Self {
+            me: me.clone(),
+            address,
+            told,
+            lanes: Default::default(),
+            retired: Mutex::default(),
+        })
+    }
+
+    /// Makes all further calls at this address. Calls that are out keep their connections until they are answered.
+    /// Tells whether it is another one.
+    pub fn move_to(&self, address: SocketAddr) -> bool {
+        if std::mem::replace(&mut *locked(&self.address), address) == address {
+            return false;
+        }
+        for lane in &self.lanes {
+            // Out of its lane first, so that a call that meets a retired connection finds the lane free.
+            let Some(connection) = locked(lane).connection.take() else { continue };
+            locked(&connection.out).retired = true;
+            locked(&self.retired).push(Arc::downgrade(&connection));
+            connection.link.wake();
+        }
+        true
     }
 
     /// A client whose calls belong to this exchange.
@@ -63,9 +104,14 @@
 
     /// Closes connections that have gone silent; call it now and then.
     pub fn sweep(&self) {
-        for lane in &self.lanes {
-            let Some(connection) = locked(lane).connection.clone() else { continue };
-            let waits = !locked(&connection.out).is_empty();
+        let mut connections: Vec<_> = {
+            let mut retired = locked(&self.retired);
+            retired.retain(|c| c.strong_count() > 0);
+            retired.iter().filter_map(Weak::upgrade).collect()
+        };
+        connections.extend(self.lanes.iter().filter_map(|lane| locked(lane).connection.clone()));
+        for connection in connections {
+            let waits = !locked(&connection.out).calls.is_empty();
             if waits && locked(&connection.heard).elapsed() > SILENCE {
                 connection.link.close();
             }
@@ -76,60 +122,73 @@
         &self.lanes[(name % LANES as u64) as usize]
     }
 
-    fn run_connection(&self, lane: &Mutex<Lane>) {
-        let link = Link::connect(self.address, CONNECT);
-        let Ok(link) = link else {
-            let calls = locked(lane).connecting.take().unwrap_or_default();
-            calls.iter().for_each(|c| (self.told)(c.id, Outcome::ConnectFailed, 0.0));
-            return;
-        };
-        let connection =
-            Arc::new(Connection { link, out: Mutex::default(), heard: Mutex::new(Instant::now()) });
-        let calls = {
-            let mut lane = locked(lane);
+    /// Connects a lane and reads there until the connection ends.
+    fn run_connection(&self, place: &Mutex<Lane>) {
+        let (connection, calls) = loop {
+            let to = *locked(&self.address);
+            let link = Link::connect(to, CONNECT);
+            let mut lane = locked(place);
+            // Compared under the lane's lock: a move looks at the lanes after it has changed the address.
+            if to != *locked(&self.address) {
+                continue;
+            }
+            let calls = lane.connecting.take().unwrap_or_default();
+            let Ok(link) = link else {
+                drop(lane);
+                calls.iter().for_each(|c| (self.told)(c.id, Outcome::ConnectFailed, 0.0));
+                return;
+            };
+            let (out, heard) = (Mutex::default(), Mutex::new(Instant::now()));
+            let connection = Arc::new(Connection { link, out, heard });
             lane.connection = Some(connection.clone());
-            lane.connecting.take().unwrap_or_default()
+            break (connection, calls);
         };
-        calls.into_iter().for_each(|call| self.write(&connection, call));
+        for call in calls {
+            match self.write(&connection, call) {
+                Write::Written => {}
+                Write::Failed => (self.told)(call.id, Outcome::ConnectFailed, 0.0),
+                Write::Retired => self.call(call),
+            }
+        }
         let _ = self.read(&connection);
         connection.link.close();
-        locked(lane).connection.take_if(|c| Arc::ptr_eq(c, &connection));
+        locked(place).connection.take_if(|c| Arc::ptr_eq(c, &connection));
         // What was written may have been added. With bytes still here it is not known which calls got through.
-        let out = std::mem::take(&mut *locked(&connection.out));
+        let out = std::mem::take(&mut locked(&connection.out).calls);
         out.into_iter().for_each(|id| (self.told)(id, Outcome::Reset, 0.0));
     }
 
-    fn write(&self, connection: &Connection, call: CounterCall) {
+    fn write(&self, connection: &Connection, call: CounterCall) -> Write {
         let mut bytes = Vec::with_capacity(96);
         let (name, add) = (format!("{:016x}", call.name), call.add.to_string());
         let keep = (call.keep / 1000).clamp(1, 60_000 as Micros).to_string();
         resp::put_command(&mut bytes, &[b"TALLY", name.as_bytes(), add.as_bytes(), keep.as_bytes()]);
-        let written = {
-            // Held while the bytes go out: calls must be queued in the order in which they are written.
-            let mut out = locked(&connection.out);
-            if out.is_empty() {
-                *locked(&connection.heard) = Instant::now();
-            }
-            let written = out.len() < MOST_OUT && connection.link.send(&bytes).is_ok();
-            if written {
-                out.push_back(call.id);
-            }
-            written
-        };
-        if !written {
-            // Nothing of this call was written: it was not added.
-            (self.told)(call.id, Outcome::ConnectFailed, 0.0);
+        // Held while the bytes go out: calls must be queued in the order in which they are written.
+        let mut out = locked(&connection.out);
+        if out.retired {
+            return Write::Retired;
         }
+        if out.calls.is_empty() {
+            *locked(&connection.heard) = Instant::now();
+        }
+        if out.calls.len() >= MOST_OUT || connection.link.send(&bytes).is_err() {
+            return Write::Failed;
+        }
+        out.calls.push_back(call.id);
+        Write::Written
     }
 
     fn read(&self, connection: &Connection) -> Result<(), Malformed> {
         let mut buffer = Vec::new();
         loop {
-            let Ok(Incoming::Bytes(_)) = connection.link.receive(&mut buffer, 4096) else { return Ok(()) };
-            *locked(&connection.heard) = Instant::now();
+            match connection.link.receive(&mut buffer, 4096) {
+                Ok(Incoming::Bytes(_)) => *locked(&connection.heard) = Instant::now(),
+                Ok(Incoming::Woken) => {}
+                Ok(Incoming::End) | Err(_) => return Ok(()),
+            }
             let mut at = 0;
             while let Some((element, next)) = resp::element(&buffer, at)? {
-                let Some(id) = locked(&connection.out).pop_front() else {
+                let Some(id) = locked(&connection.out).calls.pop_front() else {
                     return Err(Malformed("an answer to no call"));
                 };
                 let total = match &element {
@@ -147,6 +206,10 @@
                 at = next;
             }
             buffer.drain(..at);
+            let out = locked(&connection.out);
+            if out.retired && out.calls.is_empty() {
+                return Ok(());
+            }
         }
     }
 }
@@ -154,24 +217,31 @@
 impl QuotaCounter for CounterClient {
     fn call(&self, call: CounterCall) {
         let place = self.lane(call.name);
-        let mut lane = locked(place);
-        if let Some(connection) = lane.connection.clone().filter(|c| !c.link.is_closed()) {
-            drop(lane);
-            return self.write(&connection, call);
-        }
-        match &mut lane.connecting {
-            Some(calls) if calls.len() < MOST_OUT => calls.push(call),
-            Some(_) => {
+        loop {
+            let mut lane = locked(place);
+            if let Some(connection) = lane.connection.clone().filter(|c| !c.link.is_closed()) {
                 drop(lane);
-                (self.told)(call.id, Outcome::ConnectFailed, 0.0);
+                match self.write(&connection, call) {
+                    Write::Written => return,
+                    Write::Failed => return (self.told)(call.id, Outcome::ConnectFailed, 0.0),
+                    Write::Retired => continue,
+                }
             }
-            None => {
-                lane.connecting = Some(vec![call]);
-                drop(lane);
-                if let Some(me) = self.me.upgrade() {
-                    spawn(move || me.run_connection(me.lane(call.name)));
+            match &mut lane.connecting {
+                Some(calls) if calls.len() < MOST_OUT => calls.push(call),
+                Some(_) => {
+                    drop(lane);
+                    (self.told)(call.id, Outcome::ConnectFailed, 0.0);
+                }
+                None => {
+                    lane.connecting = Some(vec![call]);
+                    drop(lane);
+                    if let Some(me) = self.me.upgrade() {
+                        spawn(move || me.run_connection(me.lane(call.name)));
+                    }
                 }
             }
+            return;
         }
     }
 }
--- a/crates/counter/tests/client.rs
+++ b/crates/counter/tests/client.rs
@@ -160,3 +160,45 @@
     counter.say("*1\r\n:1\r\n");
     assert_eq!((next(&told).1, next(&told).1), (Outcome::Reset, Outcome::Reset));
 }
+
+/// Guards a reload: calls that are out at the old address keep their answers, and no new one goes there.
+#[test]
+fn a_move_keeps_the_calls_that_are_out_and_makes_new_ones_at_the_new_address() {
+    let ((old, old_accepted), (new, new_accepted)) = (counter(), counter());
+    let (client, told) = client(old);
+    client.call(call(1, 1.0));
+    let mut first = next(&old_accepted);
+    first.call();
+    assert!(!client.move_to(old), "the same address is no move");
+    assert!(client.move_to(new));
+    client.call(call(2, 1.0));
+    let mut second = next(&new_accepted);
+    second.call();
+    second.say("$1\r\n2\r\n");
+    assert_eq!(next(&told), (2, Outcome::Ok, 2.0));
+    first.say("$1\r\n7\r\n");
+    assert_eq!(next(&told), (1, Outcome::Ok, 7.0));
+    let mut rest = String::new();
+    assert_eq!(
+        first.lines.read_line(&mut rest).expect("an end"),
+        0,
+        "the old connection ends, asked no more: {rest}"
+    );
+}
+
+/// Guards against an old address that says nothing more: its connections must not stay for good.
+#[test]
+fn a_connection_to_an_old_address_is_given_up_when_it_is_silent() {
+    let ((old, old_accepted), (new, _new_accepted)) = (counter(), counter());
+    let (client, told) = client(old);
+    client.call(call(1, 1.0));
+    let _silent = next(&old_accepted);
+    client.move_to(new);
+    let ended = loop {
+        client.sweep();
+        if let Ok(ended) = told.recv_timeout(Duration::from_millis(20)) {
+            break ended;
+        }
+    };
+    assert_eq!(ended, (1, Outcome::Reset, 0.0));
+}
--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -18,19 +18,37 @@
 
 /// The watch on the discovery agent.
 pub struct Watch {
+    place: Mutex<Place>,
+}
+
+/// Where the agent is, and the connection to it with the time at which it last spoke.
+struct Place {
     address: SocketAddr,
-    open: Mutex<Option<(Arc<Link>, Instant)>>,
+    open: Option<(Arc<Link>, Instant)>,
 }
 
 impl Watch {
     /// A watch that is not yet running.
     pub fn new(address: SocketAddr) -> Arc<Self> {
-        Arc::new(Self { address, open: Mutex::new(None) })
+        Arc::new(Self { place: Mutex::new(Place { address, open: None }) })
+    }
+
+    /// Watches at this address from now on, from the version that was last had. Tells whether it is another one.
+    pub fn move_to(&self, address: SocketAddr) -> bool {
+        let mut place = locked(&self.place);
+        if std::mem::replace(&mut place.address, address) == address {
+            return false;
+        }
+        // The old agent may stay silent instead of closing, and has nothing more to tell.
+        if let Some((link, _)) = place.open.take() {
+            link.close();
+        }
+        true
     }
 
     /// Closes a connection that has gone silent; call it now and then.
     pub fn sweep(&self) {
-        if let Some((link, heard)) = &*locked(&self.open)
+        if let Some((link, heard)) = &locked(&self.place).open
             && heard.elapsed() > SILENCE
         {
             link.close();
@@ -42,8 +60,16 @@
     pub fn run(&self, mut rev: u64, told: impl Fn(HostList)) {
         let mut lost = false;
         loop {
-            let ended = self.follow(&mut rev, &told, &mut lost);
-            locked(&self.open).take();
+            let from = locked(&self.place).address;
+            let ended = self.follow(from, &mut rev, &told, &mut lost);
+            {
+                let mut place = locked(&self.place);
+                place.open.take();
+                if place.address != from {
+                    // Told to move: that is no loss, and the new agent is asked at once.
+                    continue;
+                }
+            }
             if !lost {
                 println!("discovery: the watch ended ({ended}); the last list stays, version {rev}");
                 lost = true;
@@ -53,18 +79,20 @@
     }
 
     /// One connection's life; returns why it ended.
-    fn follow(&self, rev: &mut u64, told: &impl Fn(HostList), lost: &mut bool) -> String {
-        let link = match Link::connect(self.address, CONNECT) {
+    fn follow(&self, from: SocketAddr, rev: &mut u64, told: &impl Fn(HostList), lost: &mut bool) -> String {
+        let link = match Link::connect(from, CONNECT) {
             Ok(link) => Arc::new(link),
             Err(error) => return error.to_string(),
         };
-        *locked(&self.open) = Some((link.clone(), Instant::now()));
+        {
+            let mut place = locked(&self.place);
+            if place.address != from {
+                return "the agent has moved".into();
+            }
+            place.open = Some((link.clone(), Instant::now()));
+        }
         let mut request = String::new();
-        let _ = write!(
-            request,
-            "GET /discovery/hosts?stream=1&index={rev} HTTP/1.1\r\nHost: {}\r\n\r\n",
-            self.address
-        );
+        let _ = write!(request, "GET /discovery/hosts?stream=1&index={rev} HTTP/1.1\r\nHost: {from}\r\n\r\n");
         if let Err(error) = link.send(request.as_bytes()) {
             return error.to_string();
         }
@@ -77,7 +105,7 @@
                 Ok(Incoming::End) => return "the agent closed it".into(),
                 Err(error) => return error.to_string(),
             }
-            if let Some((_, heard)) = &mut *locked(&self.open) {
+            if let Some((_, heard)) = &mut locked(&self.place).open {
                 *heard = Instant::now();
             }
             if head.is_none() {
--- a/crates/snowfield/src/appliance.rs
+++ b/crates/snowfield/src/appliance.rs
@@ -65,12 +65,20 @@
 ///
 /// The text says what cannot be used.
 pub fn serve(path: &Path) -> Result<(), String> {
-    let Checked { file, table } = check(path)?;
     let caught = signals::catch()?;
+    let Checked { file, table } = check(path)?;
     link::set_up();
     let longest = file.classes.iter().map(|c| c.deadline_ms).max().unwrap_or(0);
     let (front, door) = start(file, table)?;
-    signals::serve_until(caught, &door, Duration::from_millis(longest), || front.close(), || front.open());
+    signals::serve_until(
+        caught,
+        &door,
+        Duration::from_millis(longest),
+        // Routes, lenders and plans are part of the decisions in hand: they change with a restart, which loses nothing.
+        || println!("reload: SIGHUP changes nothing here; a restart takes the new file"),
+        || front.close(),
+        || front.open(),
+    );
     Ok(())
 }
 
--- a/crates/snowfield/src/platform.rs
+++ b/crates/snowfield/src/platform.rs
@@ -15,24 +15,65 @@
 
 /// Descriptors kept for the listener, discovery, the counter, `may` and the standard streams.
 const SPARE_SOCKETS: usize = 64;
+
 /// Reads the configuration, serves until a signal, and answers what was taken.
 ///
 /// # Errors
 ///
 /// The text says what is missing or cannot be used.
 pub fn run() -> Result<(), String> {
-    let path = std::env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG names no configuration file")?;
-    let mut json = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
-    let config = settings::parse(&mut json).map_err(|e| format!("{path}: {e}"))?;
+    // Before all else: SIGHUP must not end the program, however early it comes.
     let caught = signals::catch()?;
+    let path = std::env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG names no configuration file")?;
+    let config = read(&path)?;
     link::set_up();
     let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
-    let (front, door) = start(config)?;
-    signals::serve_until(caught, &door, Duration::from_micros(longest), || front.close(), || front.open());
+    let Parts { front, door, watch, counter } = start(config)?;
+    signals::serve_until(
+        caught,
+        &door,
+        Duration::from_micros(longest),
+        || reload(&path, &watch, counter.as_deref()),
+        || front.close(),
+        || front.open(),
+    );
     Ok(())
 }
 
-fn start(config: Config) -> Result<(Arc<Front>, Arc<Door>), String> {
+fn read(path: &str) -> Result<Config, String> {
+    let mut json = std::fs::read(path).map_err(|e| format!("{path}: {e}"))?;
+    settings::parse(&mut json).map_err(|e| format!("{path}: {e}"))
+}
+
+/// Takes the addresses of discovery and the counter from the file as it is now. Runs on a thread of its own, with room
+/// for reading JSON, while the worker serves on.
+fn reload(path: &str, watch: &Watch, counter: Option<&CounterClient>) {
+    let config = match read(path) {
+        Ok(config) => config,
+        Err(text) => return println!("reload: {text}; the old settings stay"),
+    };
+    let discovery = if watch.move_to(config.discovery) { "moved to" } else { "stays at" };
+    println!("reload: discovery {discovery} {}", config.discovery);
+    match (counter, config.counter) {
+        (Some(client), Some(at)) => {
+            let counter = if client.move_to(at) { "moved to" } else { "stays at" };
+            println!("reload: the counter {counter} {at}");
+        }
+        (None, None) => {}
+        (Some(_), None) => println!("reload: the file names no counter any more; the old one stays"),
+        (None, Some(at)) => println!("reload: a counter at {at} is used only after a restart"),
+    }
+}
+
+/// What signals act on.
+struct Parts {
+    front: Arc<Front>,
+    door: Arc<Door>,
+    watch: Arc<Watch>,
+    counter: Option<Arc<CounterClient>>,
+}
+
+fn start(config: Config) -> Result<Parts, String> {
     let clock = Clock::start();
     let sockets = config.sockets.saturating_sub(SPARE_SOCKETS).max(16);
     let limits = Limits {
@@ -67,10 +108,11 @@
             told.listed(kind, entries);
         });
     });
+    let (swept_watch, swept_counter) = (watch.clone(), counter.clone());
     crate::clock::run(exchange.clone(), move || {
         pools.sweep();
-        watch.sweep();
-        if let Some(counter) = &counter {
+        swept_watch.sweep();
+        if let Some(counter) = &swept_counter {
             counter.sweep();
         }
     });
@@ -82,5 +124,5 @@
     println!("{}: serving on {}", config.name, door.address().map_err(|e| e.to_string())?);
     let (accepting, entrance) = (front.clone(), door.clone());
     spawn(move || accepting.run(&entrance));
-    Ok((front, door))
+    Ok(Parts { front, door, watch, counter })
 }
--- a/crates/snowfield/src/signals.rs
+++ b/crates/snowfield/src/signals.rs
@@ -1,7 +1,8 @@
-//! How the program ends: it serves the overlap, closes front sockets between requests, and answers what it took.
+//! How the program is told to reload and to end: on SIGHUP it takes a new configuration while it serves; at the end it
+//! serves the overlap, closes front sockets between requests, and answers what it took.
 
 use link::Door;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::time::{Duration, Instant};
 
@@ -10,26 +11,33 @@
 /// Past the longest deadline nothing can be unanswered.
 const LAST_CALL: Duration = Duration::from_millis(300);
 
-/// Signals are caught from here on, so that one during the start is not lost.
+/// Signals are caught from here on, so that one during the start is not lost and a reload never ends the program.
 ///
 /// # Errors
 ///
 /// The system takes no handler.
 pub fn catch() -> Result<Signals, String> {
-    Signals::new([SIGTERM, SIGINT]).map_err(|e| format!("signals: {e}"))
+    Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| format!("signals: {e}"))
 }
 
-/// Waits for a signal and ends in good order. `close` has the front close each socket once it is between requests, and
-/// `open` tells how many are left; none can have work after `longest`.
+/// Calls `reload` at each SIGHUP, on this thread and so off the worker, until a signal says to end; then ends in good
+/// order. `close` has the front close each socket once it is between requests, and `open` tells how many are left; none
+/// can have work after `longest`.
 pub fn serve_until(
     mut signals: Signals,
     door: &Door,
     longest: Duration,
+    reload: impl Fn(),
     close: impl Fn(),
     open: impl Fn() -> usize,
 ) {
-    let signal = signals.forever().next();
-    println!("signal {}: serving the overlap, then finishing", signal.unwrap_or(0));
+    for signal in signals.forever() {
+        if signal != SIGHUP {
+            println!("signal {signal}: serving the overlap, then finishing");
+            break;
+        }
+        reload();
+    }
     std::thread::sleep(OVERLAP);
     door.shut();
     close();
--- a/crates/snowfield/tests/appliance.rs
+++ b/crates/snowfield/tests/appliance.rs
@@ -510,6 +510,19 @@
     assert_eq!(targets.iter().filter(|t| !t.contains("index=")).count(), 2, "{targets:?}");
 }
 
+/// Guards against a reload meant for the platform's front that would end this one.
+#[test]
+fn sighup_does_not_end_the_program() {
+    let (at, _seen) = serving();
+    let mut site = site("hangup", &Shape { destinations: &[at], ..Shape::default() });
+    let mut client = Client::connect(site.listen);
+    site.program.signal("-HUP");
+    site.program.logged("reload: SIGHUP changes nothing here");
+    assert_eq!(client.ask(&get("/v1/loans/7")).status(), 200);
+    site.program.terminate();
+    assert_eq!(site.program.wait(), Some(0));
+}
+
 #[test]
 fn what_cannot_be_honoured_is_refused_at_load() {
     let folder = Folder::new("load");
--- a/crates/snowfield/tests/common/mod.rs
+++ b/crates/snowfield/tests/common/mod.rs
@@ -49,7 +49,11 @@
     }
 
     pub fn terminate(&self) {
-        let done = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+        self.signal("-TERM");
+    }
+
+    pub fn signal(&self, name: &str) {
+        let done = Command::new("kill").args([name, &self.child.id().to_string()]).status();
         assert!(done.expect("kill runs").success());
     }
 
--- a/crates/snowfield/tests/platform.rs
+++ b/crates/snowfield/tests/platform.rs
@@ -13,7 +13,7 @@
     agent: Agent,
     /// The watch that the program opened first.
     watch: Sender<String>,
-    _folder: Folder,
+    folder: Folder,
 }
 
 struct Shape<'a> {
@@ -67,7 +67,7 @@
     let program = Program::start(&[], &[("BALANCER_CONFIG", &path)]);
     let listen = program.logged("serving on ").parse().expect("an address");
     let (_, watch) = next(&agent.watches);
-    Site { program, listen, agent, watch, _folder: folder }
+    Site { program, listen, agent, watch, folder }
 }
 
 fn query(id: u32, wait_ms: u32, units: u32) -> Vec<u8> {
@@ -339,6 +339,57 @@
     assert_eq!(site.program.wait(), Some(0));
 }
 
+/// Guards reloads: SIGHUP once ended the program. Discovery and the counter move, what was taken is answered, a bad file
+/// changes nothing, and SIGTERM still ends it in good order.
+#[test]
+fn sighup_moves_discovery_and_the_counter_and_a_bad_file_changes_nothing() {
+    let (release, word) = channel();
+    let word = std::sync::Mutex::new(Some(word));
+    let (at, seen) = destination(command, move |words| {
+        let word = word.lock().expect("no stand-in panics").take();
+        word.map_or(Does::Say(value(&words[2])), |word| Does::SayAfter(word, value(&words[2])))
+    });
+    let ((old_counter, old_added), (new_counter, new_added)) = (counter(0.0), counter(0.0));
+    let shape = Shape { destinations: &[at], counter: Some(old_counter), gatekeepers: 2, ..Shape::default() };
+    let mut site = site("sighup", &shape);
+    let mut client = Client::connect(site.listen);
+    client.send(&query(1, 2500, 1));
+    next(&old_added);
+    asked(&seen);
+
+    site.folder.write("config.json", "{");
+    site.program.signal("-HUP");
+    site.program.logged("the old settings stay");
+
+    let new_agent = agent();
+    let moved = Shape { counter: Some(new_counter), ..shape };
+    site.folder.write("config.json", &config(new_agent.address, &moved));
+    site.program.signal("-HUP");
+    assert_eq!(site.program.logged("discovery moved to "), new_agent.address.to_string());
+    assert_eq!(site.program.logged("the counter moved to "), new_counter.to_string());
+    let (request, watch) = next(&new_agent.watches);
+    assert_eq!(request, "GET /discovery/hosts?stream=1&index=40 HTTP/1.1", "from the version it has");
+
+    release.send(()).expect("the stand-in waits");
+    assert_eq!(client.reply(), id(1), "taken before the reload");
+    client.send(&query(2, 2500, 1));
+    assert_eq!(client.reply(), id(2));
+    next(&new_added);
+
+    // The new agent is heard: its list replaces the old one.
+    let (other, _) = destination(command, |_| Does::Say(value("other")));
+    watch.send(list(41, true, &[host("s-9", other, "up")])).expect("the watch is open");
+    for number in 3.. {
+        client.send(&query(number, 2500, 1));
+        if client.reply() == "other" {
+            break;
+        }
+    }
+    site.program.terminate();
+    assert!(client.ended());
+    assert_eq!(site.program.wait(), Some(0));
+}
+
 #[test]
 fn a_configuration_that_cannot_be_used_is_told_and_ends_the_program() {
     let folder = Folder::new("config");
