Front: idle sockets make room, errors come in turn, requests are held to the settings

From 12 s on up to 67% of the tries failed; '14680 new connections closed unserved', descriptors 128 of 256. 2520 connections asked once and stayed. Checked: a probe that logged each command (removed). Table of 96 front sockets full of idle ones, each new one closed at once (front_resp run()). Bad requests that went on: customers above 2^33, units=1e12, -40 and 0, spread=, first=2.5, d above any deadline, SVC.SUBMIT for a class that is safe to repeat (front_resp operation()). A malformed command's error was written before the answers owed first, and its close ended their operations (serve()). Now: a full table ends the sockets that have been idle for longest (2 s; 250 ms if they never spoke) and keeps new ones waiting meanwhile; sockets that never speak end after 2 s, half commands get an error after 1.5 s; errors take their turn and the socket ends after it, what comes behind is not read without bound, so that a reset does not take the error away; a client that repeats errors is read every 20 ms; an open id is refused; a link that always has bytes sleeps 1 ms after 16 reads, since may's worker looks for other sockets only when all coroutines wait (a yield would not do). Tests: requests.rs, a_malformed_command_..., silent_and_half_sent_..., idle_sockets_make_room_..., a_client_that_repeats_..., the_id_of_an_open_request_...

--- a/crates/front_resp/src/lib.rs
+++ b/crates/front_resp/src/lib.rs
@@ -1,44 +1,63 @@
 //! The front for the platform's RESP2 protocol: front sockets on which clients pipeline commands.
 //!
 //! It reads a command, hands an operation to the exchange and writes the final answer in the command's turn. No
-//! decision is made here.
+//! decision is made here. What cannot be used gets an error in its turn; what cannot be told apart any more also ends
+//! the socket, once all that came before it has its answer.
+
+mod requests;
 
 use exchange::{Exchange, FinalAnswer, Operation, OperationId};
-use link::{Door, Incoming, Link, locked, spawn};
-use resp::{Command, Malformed, Query};
-use std::collections::VecDeque;
+use link::{Door, Incoming, Link, locked, sleep, spawn};
+use resp::{Malformed, Query};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, Weak};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+pub use requests::{ClassRule, Rules};
 
 /// Bytes asked of the system in one read.
 const READ: usize = 8 * 1024;
-/// Commands of one front socket that may wait for answers; more get the busy reply at once.
+/// Operations of one front socket that may wait for answers; more get the busy reply at once.
 const MOST_WAITING: usize = 64;
+/// Commands of one front socket that may wait for their turn: more is an error, so that the line stays bounded.
+const MOST_TURNS: usize = 1024;
 /// Bytes of answers that a client may leave unread before it is cut off.
 const MOST_UNREAD: usize = 256 * 1024;
-/// us; an answer leaves this long before its client gives up, for the way back and the timers' grain.
-const MARGIN: u64 = 10_000;
+/// A front socket without a request may be closed after this (the protocol); one that never sent any is.
+const QUIET: Duration = Duration::from_secs(2);
+/// A command must be whole this long after it began. With the time between two sweeps, what is never whole has its
+/// error within the 3 s in which it is owed.
+const WHOLE_WITHIN: Duration = Duration::from_millis(1_500);
+/// Clients send as soon as they are connected: one that has not after this makes room for others when the table is full.
+const SILENT: Duration = Duration::from_millis(250);
+/// How long a socket that was told its end may take to read that.
+const LINGER: Duration = Duration::from_millis(400);
+/// After an error nothing more is read from its socket for this long, so that one that repeats it takes little work.
+const PENALTY: Duration = Duration::from_millis(20);
+/// Between two looks for room in a full table.
+const LOOK: Duration = Duration::from_millis(2);
 
 /// What this front passes on and gives back.
 pub type RespExchange = Exchange<Query, Vec<u8>>;
 
-/// Names whose numbers the module uses.
-#[derive(Clone, Debug)]
-pub struct Names {
-    /// Names of the classes.
-    pub classes: Vec<String>,
-    /// Names of the plans.
-    pub plans: Vec<String>,
-}
-
 /// The front with all its sockets.
 pub struct Front {
     exchange: Arc<RespExchange>,
-    names: Names,
+    rules: Rules,
     most: usize,
     ready: AtomicBool,
     closing: AtomicBool,
-    sockets: Mutex<Vec<Weak<FrontSocket>>>,
+    sockets: Mutex<Table>,
+    /// Ids of the requests that are open here.
+    open_ids: Mutex<HashSet<Vec<u8>>>,
+}
+
+/// Open front sockets by the order in which they came.
+#[derive(Default)]
+struct Table {
+    next: u64,
+    open: BTreeMap<u64, Arc<FrontSocket>>,
 }
 
 /// One client's connection.
@@ -47,21 +66,23 @@
     turns: Mutex<Turns>,
 }
 
-impl FrontSocket {
-    fn between_requests(&self) -> bool {
-        let turns = locked(&self.turns);
-        turns.turns.is_empty() && !turns.partial && self.link.unsent() == 0
-    }
-}
-
 /// Commands in the order in which they came.
-#[derive(Default)]
 struct Turns {
     /// The number of the turn at the front.
     first: u64,
     turns: VecDeque<Turn>,
-    /// Bytes of a command that is not whole yet.
-    partial: bool,
+    /// How many of them wait for a final answer.
+    waiting: usize,
+    /// Since when a command is not whole.
+    partial: Option<Instant>,
+    /// Since when no command waits for its turn.
+    idle: Instant,
+    /// A command has come.
+    spoken: bool,
+    /// Nothing more is read; the socket ends with the last turn.
+    ending: bool,
+    /// Room is needed: it ends if it is idle.
+    unwanted: bool,
 }
 
 enum Turn {
@@ -72,14 +93,69 @@
 /// What to do with a command.
 enum Ask {
     Answer(&'static [u8]),
-    Submit(Operation<Query>),
+    Error(&'static str),
+    Submit(Operation<Query>, OpenId),
+}
+
+/// An id that is open; closed when the final answer is given or the client has left.
+struct OpenId {
+    front: Arc<Front>,
+    id: Vec<u8>,
+}
+
+impl Drop for OpenId {
+    fn drop(&mut self) {
+        locked(&self.front.open_ids).remove(&self.id);
+    }
+}
+
+impl FrontSocket {
+    fn new(link: Link) -> Arc<Self> {
+        let turns = Turns {
+            first: 0,
+            turns: VecDeque::new(),
+            waiting: 0,
+            partial: None,
+            idle: Instant::now(),
+            spoken: false,
+            ending: false,
+            unwanted: false,
+        };
+        Arc::new(Self { link, turns: Mutex::new(turns) })
+    }
+
+    fn between_requests(&self) -> bool {
+        let turns = locked(&self.turns);
+        turns.turns.is_empty() && turns.partial.is_none() && self.link.unsent() == 0
+    }
+}
+
+impl Turns {
+    /// How long it has been without a request; `None` while it has one, or part of one.
+    fn idle_for(&self) -> Option<Duration> {
+        (self.turns.is_empty() && self.partial.is_none()).then(|| self.idle.elapsed())
+    }
+
+    /// Whether it may be closed to make room, and how long it has been idle.
+    fn makes_room(&self) -> Option<Duration> {
+        self.idle_for().filter(|&idle| idle >= if self.spoken { QUIET } else { SILENT })
+    }
+}
+
+/// Why a front socket is woken and ends.
+enum End {
+    /// It is between requests.
+    Quiet,
+    /// This error comes first, in its turn.
+    Error(&'static str),
 }
 
 impl Front {
     /// A front that takes at most so many sockets.
-    pub fn new(exchange: Arc<RespExchange>, names: Names, most: usize) -> Arc<Self> {
+    pub fn new(exchange: Arc<RespExchange>, rules: Rules, most: usize) -> Arc<Self> {
         let (ready, closing) = (AtomicBool::new(false), AtomicBool::new(false));
-        Arc::new(Self { exchange, names, most, ready, closing, sockets: Mutex::default() })
+        let (sockets, open_ids) = (Mutex::default(), Mutex::default());
+        Arc::new(Self { exchange, rules, most, ready, closing, sockets, open_ids })
     }
 
     /// From now on `PING` is answered.
@@ -90,19 +166,25 @@
     /// Accepts front sockets until the door is shut; runs in a coroutine.
     pub fn run(self: &Arc<Self>, door: &Door) {
         while let Some(link) = door.accept() {
-            let mut sockets = locked(&self.sockets);
-            sockets.retain(|s| s.strong_count() > 0);
-            if sockets.len() >= self.most {
-                drop(sockets);
-                // Closed unread: the client sends its request again on another connection.
-                link.close();
-                continue;
+            // A full table keeps new sockets waiting, and those behind them at the door, until others have made room:
+            // closed, they would only come again.
+            while locked(&self.sockets).open.len() >= self.most {
+                self.make_room(1);
+                sleep(LOOK);
             }
-            let socket = Arc::new(FrontSocket { link, turns: Mutex::default() });
-            sockets.push(Arc::downgrade(&socket));
-            drop(sockets);
+            let socket = FrontSocket::new(link);
+            let number = {
+                let mut sockets = locked(&self.sockets);
+                sockets.next += 1;
+                let number = sockets.next;
+                sockets.open.insert(number, socket.clone());
+                number
+            };
             let front = self.clone();
-            spawn(move || front.serve(&socket));
+            spawn(move || {
+                front.serve(&socket);
+                locked(&front.sockets).open.remove(&number);
+            });
         }
     }
 
@@ -119,67 +201,186 @@
         self.open_sockets().len()
     }
 
+    /// Ends what says nothing, is never whole or does not leave, and keeps some room; call it twice a second.
+    pub fn sweep(&self) {
+        let sockets = self.open_sockets();
+        for socket in &sockets {
+            let (stale, over) = {
+                let turns = locked(&socket.turns);
+                let half = turns.partial.is_some_and(|since| since.elapsed() >= WHOLE_WITHIN);
+                let silent = !turns.spoken && turns.idle_for().is_some_and(|idle| idle >= QUIET);
+                let over = turns.ending && turns.turns.is_empty() && turns.idle.elapsed() >= LINGER;
+                (half || silent || turns.ending, over)
+            };
+            if over {
+                socket.link.close();
+            } else if stale {
+                // Woken, it looks at the time by itself.
+                socket.link.wake();
+            }
+        }
+        // A quarter of the table stays free for those who come.
+        self.make_room(sockets.len().saturating_sub(self.most - self.most / 4));
+    }
+
+    /// Has so many sockets end that are not in use, those first that have been idle for longest.
+    fn make_room(&self, count: usize) {
+        if count == 0 {
+            return;
+        }
+        let mut idle: Vec<(Duration, Arc<FrontSocket>)> = Vec::new();
+        for socket in self.open_sockets() {
+            let span = {
+                let turns = locked(&socket.turns);
+                let told = turns.ending && turns.turns.is_empty();
+                if told { Some(Duration::MAX) } else { turns.makes_room() }
+            };
+            idle.extend(span.map(|span| (span, socket)));
+        }
+        idle.sort_by_key(|(span, _)| std::cmp::Reverse(*span));
+        for (span, socket) in idle.into_iter().take(count) {
+            if span == Duration::MAX && locked(&socket.turns).idle.elapsed() >= LINGER / 4 {
+                socket.link.close();
+            } else {
+                locked(&socket.turns).unwanted = true;
+                socket.link.wake();
+            }
+        }
+    }
+
     fn open_sockets(&self) -> Vec<Arc<FrontSocket>> {
-        locked(&self.sockets).iter().filter_map(Weak::upgrade).filter(|s| !s.link.is_closed()).collect()
+        locked(&self.sockets).open.values().filter(|s| !s.link.is_closed()).cloned().collect()
     }
 
-    /// Reads commands until the client leaves.
+    /// Reads commands until the client leaves or cannot be understood.
     fn serve(self: &Arc<Self>, socket: &Arc<FrontSocket>) {
+        if let Some(text) = self.read(socket) {
+            self.end(socket, text);
+        }
+        socket.link.close();
+        let waiting: Vec<OperationId> = {
+            let turns = locked(&socket.turns);
+            turns.turns.iter().filter_map(|t| if let Turn::Waiting(id) = t { *id } else { None }).collect()
+        };
+        waiting.into_iter().for_each(|id| self.exchange.left(id));
+    }
+
+    /// Reads and takes commands; returns the error with which the socket ends, if it ends with one.
+    fn read(self: &Arc<Self>, socket: &Arc<FrontSocket>) -> Option<&'static str> {
         let mut buffer = Vec::new();
         loop {
             match socket.link.receive(&mut buffer, READ) {
                 Ok(Incoming::Bytes(_)) => {}
-                // Only here, between two reads, is it sure that no request has come in unseen.
-                Ok(Incoming::Woken) if self.closing.load(Ordering::Acquire) && socket.between_requests() => {
-                    break;
-                }
-                Ok(Incoming::Woken) => continue,
-                Ok(Incoming::End) | Err(_) => break,
+                // Only here, where nothing is left to read, is it sure that no request has come in unseen.
+                Ok(Incoming::Woken) => match self.look(socket) {
+                    None => continue,
+                    Some(End::Quiet) => return None,
+                    Some(End::Error(text)) => return Some(text),
+                },
+                Ok(Incoming::End) | Err(_) => return None,
             }
-            let mut at = 0;
-            let malformed = loop {
+            let (mut at, mut errors) = (0, false);
+            loop {
                 match resp::command(&buffer, at) {
                     Ok(Some(command)) => {
-                        let end = command.end;
-                        self.take(socket, &buffer[at..end], at, &command);
-                        at = end;
+                        let words: Vec<_> = command.words.iter().map(|w| w.start - at..w.end - at).collect();
+                        errors |= !self.take(socket, &buffer[at..command.end], &words);
+                        at = command.end;
                     }
-                    Ok(None) => break None,
-                    Err(Malformed(text)) => break Some(text),
+                    Ok(None) => break,
+                    // What follows cannot be told apart any more.
+                    Err(Malformed(text)) => return Some(text),
                 }
-            };
+            }
             buffer.drain(..at);
             if buffer.is_empty() && buffer.capacity() > 4 * READ {
                 buffer = Vec::new();
             }
-            locked(&socket.turns).partial = !buffer.is_empty();
-            if let Some(text) = malformed {
-                // What follows cannot be told apart any more: an error and the end.
-                let _ = socket.link.send(format!("-ERR {text}\r\n").as_bytes());
-                break;
+            {
+                let mut turns = locked(&socket.turns);
+                let since = turns.partial.filter(|_| at == 0).unwrap_or_else(Instant::now);
+                turns.partial = (!buffer.is_empty()).then_some(since);
+                if turns.turns.len() > MOST_TURNS {
+                    return Some("too many commands at once");
+                }
+            }
+            if errors {
+                sleep(PENALTY);
             }
         }
-        socket.link.close();
-        let waiting: Vec<OperationId> = {
-            let turns = locked(&socket.turns);
-            turns.turns.iter().filter_map(|t| if let Turn::Waiting(id) = t { *id } else { None }).collect()
-        };
-        waiting.into_iter().for_each(|id| self.exchange.left(id));
     }
 
-    fn take(self: &Arc<Self>, socket: &Arc<FrontSocket>, raw: &[u8], base: usize, command: &Command) {
+    /// What a socket that was woken should do; `None` for going on.
+    fn look(&self, socket: &FrontSocket) -> Option<End> {
+        if self.closing.load(Ordering::Acquire) && socket.between_requests() {
+            return Some(End::Quiet);
+        }
+        let mut turns = locked(&socket.turns);
+        if turns.partial.is_some_and(|since| since.elapsed() >= WHOLE_WITHIN) {
+            return Some(End::Error("the command did not become whole"));
+        }
+        let unwanted = std::mem::take(&mut turns.unwanted) && turns.makes_room().is_some();
+        let silent = !turns.spoken && turns.idle_for().is_some_and(|idle| idle >= QUIET);
+        ((unwanted || silent) && socket.link.unsent() == 0).then_some(End::Quiet)
+    }
+
+    /// Says an error in its turn, once all that was taken before has its answer, and ends the socket. What still comes
+    /// is not looked at.
+    fn end(&self, socket: &FrontSocket, text: &str) {
         let turn = {
             let mut turns = locked(&socket.turns);
-            turns.turns.push_back(Turn::Waiting(None));
-            turns.first + turns.turns.len() as u64 - 1
+            turns.ending = true;
+            turns.partial = None;
+            turns.push()
+        };
+        self.answer(socket, turn, format!("-ERR {text}\r\n").into_bytes());
+        // Read on for a while, to see the client leave; a client that sends without end is left to the system.
+        let mut unread = Vec::new();
+        for _ in 0..8 {
+            if locked(&socket.turns).turns.is_empty() {
+                break;
+            }
+            match socket.link.receive(&mut unread, READ) {
+                Ok(Incoming::Bytes(_) | Incoming::Woken) => unread.clear(),
+                Ok(Incoming::End) | Err(_) => return,
+            }
+        }
+        while !locked(&socket.turns).turns.is_empty() {
+            if socket.link.rest().is_err() {
+                return;
+            }
+        }
+        socket.link.finish();
+    }
+
+    /// Takes a command in its turn; tells whether it could be used.
+    fn take(
+        self: &Arc<Self>,
+        socket: &Arc<FrontSocket>,
+        raw: &[u8],
+        words: &[std::ops::Range<usize>],
+    ) -> bool {
+        let (turn, crowded) = {
+            let mut turns = locked(&socket.turns);
+            turns.spoken = true;
+            (turns.push(), turns.waiting >= MOST_WAITING)
         };
-        let crowded = locked(&socket.turns).turns.len() > MOST_WAITING;
-        match self.ask(raw, base, command) {
+        match self.ask(raw, words) {
             Ask::Answer(bytes) => self.answer(socket, turn, bytes.to_vec()),
-            Ask::Submit(_) if crowded => self.answer(socket, turn, b"-BUSY\r\n".to_vec()),
-            Ask::Submit(operation) => {
+            Ask::Error(text) => {
+                self.answer(socket, turn, format!("-ERR {text}\r\n").into_bytes());
+                return false;
+            }
+            Ask::Submit(..) if crowded => self.answer(socket, turn, b"-BUSY\r\n".to_vec()),
+            Ask::Submit(operation, open_id) => {
+                locked(&socket.turns).waiting += 1;
                 let (front, place) = (self.clone(), socket.clone());
-                let reply = move |answer| front.answer(&place, turn, answer_bytes(answer));
+                let reply = move |answer| {
+                    // Closed before the answer goes out: then the client may use its id anew.
+                    drop(open_id);
+                    locked(&place.turns).waiting -= 1;
+                    front.answer(&place, turn, answer_bytes(answer));
+                };
                 let id = self.exchange.submit(operation, Box::new(reply));
                 let mut turns = locked(&socket.turns);
                 let at = turn.checked_sub(turns.first);
@@ -188,6 +389,7 @@
                 }
             }
         }
+        true
     }
 
     /// Keeps an answer for its turn, and writes those whose turn has come.
@@ -212,18 +414,22 @@
         }
         // Sent before the turns are free, so that no later answer overtakes.
         let sent = socket.link.send(&whole);
+        let mut waits_for_this = self.closing.load(Ordering::Acquire);
+        if turns.turns.is_empty() {
+            turns.idle = Instant::now();
+            waits_for_this |= turns.ending;
+        }
         drop(turns);
         if sent.is_err() || socket.link.unsent() > MOST_UNREAD {
             socket.link.close();
-        } else if self.closing.load(Ordering::Acquire) {
+        } else if waits_for_this {
             socket.link.wake();
         }
     }
 
-    /// What a command asks for. `raw` is the command alone; its words are numbered from `base`.
-    fn ask(&self, raw: &[u8], base: usize, command: &Command) -> Ask {
-        let word = |i: usize| command.words.get(i).map(|w| &raw[w.start - base..w.end - base]);
-        let name = word(0).unwrap_or_default();
+    /// What a command asks for. `raw` is the command alone, and its words lie in it.
+    fn ask(self: &Arc<Self>, raw: &[u8], words: &[std::ops::Range<usize>]) -> Ask {
+        let name = words.first().map_or(&[][..], |w| &raw[w.clone()]);
         if name.eq_ignore_ascii_case(b"PING") {
             let ready = self.ready.load(Ordering::Acquire);
             return Ask::Answer(if ready { b"+PONG\r\n" } else { b"-ERR not ready\r\n" });
@@ -231,53 +437,22 @@
         if name.eq_ignore_ascii_case(b"CLIENT") || name.eq_ignore_ascii_case(b"SELECT") {
             return Ask::Answer(b"+OK\r\n");
         }
-        if name != b"SVC.QUERY" && name != b"SVC.SUBMIT" {
-            return Ask::Answer(b"-ERR unknown command\r\n");
-        }
-        let list = command.words.get(3).map(|w| w.start - base..w.end - base);
-        match (word(1), list) {
-            (Some(customer), Some(list)) => match self.operation(raw, customer, list) {
-                Some(operation) => Ask::Submit(operation),
-                None => Ask::Answer(b"-ERR malformed request\r\n"),
-            },
-            _ => Ask::Answer(b"-ERR too few words\r\n"),
+        let (operation, id) = match self.rules.operation(raw, words) {
+            Ok(found) => found,
+            Err(text) => return Ask::Error(text),
+        };
+        if !locked(&self.open_ids).insert(id.clone()) {
+            return Ask::Error("the id is that of an open request");
         }
+        Ask::Submit(operation, OpenId { front: self.clone(), id })
     }
+}
 
-    fn operation(
-        &self,
-        raw: &[u8],
-        customer: &[u8],
-        list: std::ops::Range<usize>,
-    ) -> Option<Operation<Query>> {
-        let text = |bytes| std::str::from_utf8(bytes).ok();
-        let customer = u64::from_str_radix(text(customer)?, 16).ok()?;
-        let (mut class, mut plan, mut wait_ms, mut units, mut set_size) = (None, None, None, None, 0.0);
-        let mut repeat = false;
-        for (name, value) in resp::fields(raw, list.clone()) {
-            let value = text(&raw[value])?;
-            match &raw[name] {
-                b"c" => class = self.names.classes.iter().position(|n| n == value),
-                b"t" => plan = self.names.plans.iter().position(|n| n == value),
-                b"d" => wait_ms = value.parse::<u64>().ok(),
-                b"units" => units = value.parse::<f64>().ok().filter(|u| u.is_finite() && *u > 0.0),
-                b"spread" => set_size = value.parse::<f64>().ok().filter(|s| s.is_finite())?,
-                b"r" => repeat = value == "1",
-                _ => {}
-            }
-        }
-        let time_left = wait_ms?.checked_mul(1000)?.saturating_sub(MARGIN).max(1000);
-        Some(Operation {
-            class: class? as u16,
-            plan: plan? as u32,
-            customer,
-            time_left,
-            set_size,
-            units: units?,
-            repeat,
-            account: None,
-            query: Query::new(raw.to_vec(), list)?,
-        })
+impl Turns {
+    /// A new turn at the end; returns its number.
+    fn push(&mut self) -> u64 {
+        self.turns.push_back(Turn::Waiting(None));
+        self.first + self.turns.len() as u64 - 1
     }
 }
 
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -11,15 +11,22 @@
 use may::net::{TcpListener, TcpStream};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Bytes of stack of an ordinary coroutine. Pages are touched only when used; the room above what the program needs
 /// is for the text of a panic.
 pub const STACK: usize = 128 * 1024;
 /// Bytes of stack where JSON is parsed.
 pub const LARGE_STACK: usize = 1024 * 1024;
+/// Reads, or accepted connections, in a row after which all others get a turn. The worker looks for news of other
+/// sockets only when every coroutine waits, so one that always finds bytes would starve them.
+const BURST: u32 = 16;
+/// How long they get. A sleep and no yield: what yields stays in the worker's queue and keeps it from looking.
+const REST: Duration = Duration::from_millis(1);
+/// Bytes that are taken in unread for a client that is told its end while it sends.
+const MOST_DISCARDED: usize = 256 * 1024;
 
 /// Sets `may` up for one core: one worker, not pinned, since other programs may share the core.
 pub fn set_up() {
@@ -66,6 +73,8 @@
     out: Mutex<Outgoing>,
     closed: AtomicBool,
     woken: AtomicBool,
+    /// Reads in a row that did not have to wait.
+    streak: AtomicU32,
 }
 
 /// Bytes that the socket has not taken yet.
@@ -101,7 +110,8 @@
     pub fn new(stream: TcpStream) -> Self {
         // Without it small answers wait for acknowledgements; where it fails they do, and nothing else is lost.
         let _ = stream.set_nodelay(true);
-        Self { stream, out: Mutex::default(), closed: AtomicBool::new(false), woken: AtomicBool::new(false) }
+        let (closed, woken) = (AtomicBool::new(false), AtomicBool::new(false));
+        Self { stream, out: Mutex::default(), closed, woken, streak: AtomicU32::new(0) }
     }
 
     /// Writes what the socket takes now and keeps the rest for the coroutine that waits on this link. Tells whether
@@ -151,20 +161,22 @@
     }
 
     /// Waits for bytes and appends them, at most `most`; also sends what waits meanwhile. Only the link's own
-    /// coroutine calls this.
+    /// coroutine calls this. Bytes that are here come before [`Incoming::Woken`], so whoever is told that knows that
+    /// nothing has come in unseen.
     ///
     /// # Errors
     ///
     /// The connection broke or was closed.
     pub fn receive(&self, buffer: &mut Vec<u8>, most: usize) -> io::Result<Incoming> {
+        if self.streak.fetch_add(1, Ordering::Relaxed) >= BURST {
+            self.streak.store(0, Ordering::Relaxed);
+            sleep(REST);
+        }
         loop {
             if self.is_closed() {
                 return Err(ErrorKind::NotConnected.into());
             }
             self.flush()?;
-            if self.woken.swap(false, Ordering::AcqRel) {
-                return Ok(Incoming::Woken);
-            }
             let start = buffer.len();
             buffer.resize(start + most, 0);
             let read = self.stream.inner().read(&mut buffer[start..]);
@@ -173,6 +185,10 @@
                 Ok(0) => return Ok(Incoming::End),
                 Ok(n) => return Ok(Incoming::Bytes(n)),
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    self.streak.store(0, Ordering::Relaxed);
+                    if self.woken.swap(false, Ordering::AcqRel) {
+                        return Ok(Incoming::Woken);
+                    }
                     self.stream.wait_io();
                 }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
@@ -181,6 +197,11 @@
         }
     }
 
+    /// Whether the socket holds bytes, an end or an error that nobody has read yet. Takes nothing.
+    pub fn has_news(&self) -> bool {
+        !matches!(self.stream.inner().peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
+    }
+
     /// Has the link's own coroutine come back from [`Link::receive`] with [`Incoming::Woken`].
     pub fn wake(&self) {
         self.woken.store(true, Ordering::Release);
@@ -212,14 +233,36 @@
         }
     }
 
+    /// Sends what waits and then waits for anything to happen, without reading. Only the link's own coroutine calls this.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke or was closed.
+    pub fn rest(&self) -> io::Result<()> {
+        if self.is_closed() {
+            return Err(ErrorKind::NotConnected.into());
+        }
+        self.flush()?;
+        self.wait();
+        Ok(())
+    }
+
     /// Sends what waits, says that no more will come, and waits for the other side's end, so that an answer is not
-    /// lost where unread bytes would reset the connection. Only the link's own coroutine calls this.
+    /// lost where unread bytes would reset the connection. What still comes is taken in up to a bound and then left to
+    /// the system, which stops a sender that goes on; the owner closes the link after a while. Only the link's own
+    /// coroutine calls this.
     pub fn finish(&self) {
-        let mut unread = Vec::new();
+        let (mut unread, mut discarded) = (Vec::new(), 0);
         if self.drain().is_ok() && self.stream.shutdown(Shutdown::Write).is_ok() {
-            while let Ok(Incoming::Bytes(_) | Incoming::Woken) = self.receive(&mut unread, 16 * 1024) {
+            while discarded < MOST_DISCARDED {
+                match self.receive(&mut unread, 16 * 1024) {
+                    Ok(Incoming::Bytes(n)) => discarded += n,
+                    Ok(Incoming::Woken) => {}
+                    Ok(Incoming::End) | Err(_) => break,
+                }
                 unread.clear();
             }
+            while discarded >= MOST_DISCARDED && self.rest().is_ok() {}
         }
         self.close();
     }
@@ -241,7 +284,11 @@
 
 /// A listener whose accept loop can be ended from outside.
 #[derive(Debug)]
-pub struct Door(TcpListener);
+pub struct Door {
+    listener: TcpListener,
+    /// Connections accepted since the last look at the clock, and when that was.
+    streak: Mutex<(u32, Instant)>,
+}
 
 impl Door {
     /// Listens on this address only.
@@ -250,7 +297,7 @@
     ///
     /// Passes on what the system says.
     pub fn open(at: SocketAddr) -> io::Result<Self> {
-        TcpListener::bind(at).map(Self)
+        Ok(Self { listener: TcpListener::bind(at)?, streak: Mutex::new((0, Instant::now())) })
     }
 
     /// The address that it listens on.
@@ -259,13 +306,25 @@
     ///
     /// Passes on what the system says.
     pub fn address(&self) -> io::Result<SocketAddr> {
-        self.0.local_addr()
+        self.listener.local_addr()
     }
 
     /// Waits for the next connection; `None` once the door is shut.
     pub fn accept(&self) -> Option<Link> {
+        let tired = {
+            let mut streak = locked(&self.streak);
+            streak.0 += 1;
+            let tired = streak.0 > BURST;
+            if tired || streak.1.elapsed() > REST {
+                *streak = (0, Instant::now());
+            }
+            tired
+        };
+        if tired {
+            sleep(REST);
+        }
         loop {
-            match self.0.accept() {
+            match self.listener.accept() {
                 Ok((stream, _)) => return Some(Link::new(stream)),
                 // A shut listener says so with this; all other errors concern one connection or pass by.
                 Err(e) if e.kind() == ErrorKind::InvalidInput => return None,
@@ -278,6 +337,6 @@
     /// Refuses new connections from now on.
     pub fn shut(&self) {
         // It can only fail where the listener is shut already.
-        let _ = socket2::SockRef::from(self.0.inner()).shutdown(Shutdown::Both);
+        let _ = socket2::SockRef::from(self.listener.inner()).shutdown(Shutdown::Both);
     }
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -26,6 +26,8 @@
     pub known: HostList,
     /// The module's settings.
     pub settings: module::Settings,
+    /// The most units of one request, where they are named.
+    pub largest: Option<f64>,
     /// How long an idle connection lives at a destination.
     pub keepalive: module::Micros,
     /// Names of the classes, by number.
@@ -251,12 +253,12 @@
     may_count: bool,
     count_wait_us: u64,
     settles: bool,
-    largest: f64,
+    largest: Option<f64>,
 }
 
 impl Default for FileSpecifics {
     fn default() -> Self {
-        Self { may_count: false, count_wait_us: 50_000, settles: false, largest: 1.0 }
+        Self { may_count: false, count_wait_us: 50_000, settles: false, largest: None }
     }
 }
 
@@ -297,6 +299,7 @@
         sockets: file.limits.sockets,
         counter,
         known: file.known,
+        largest: s.specifics.largest,
         keepalive: s.bounds.keepalive_us,
         classes: names(&s.classes),
         plans: s.contracts.iter().map(|p| p.name.clone()).collect(),
@@ -337,7 +340,7 @@
         counter: s.specifics.may_count && counter,
         counter_wait: s.specifics.count_wait_us,
         settles: s.specifics.settles,
-        largest: s.specifics.largest,
+        largest: s.specifics.largest.unwrap_or(1.0),
         cross_zone_cost: s.costs.cross_zone,
     };
     settings.validate().map_err(|e| ConfigError(e.to_string()))?;
--- a/crates/snowfield/src/platform.rs
+++ b/crates/snowfield/src/platform.rs
@@ -4,17 +4,18 @@
 use crate::signals;
 use counter::CounterClient;
 use destination::{Limits, Pools, RespDestination};
-use dewproxy::interface::ListKind;
+use dewproxy::interface::{Effect, ListKind};
 use discovery::Watch;
 use exchange::{Clock, Exchange};
-use front_resp::{Front, Names};
+use front_resp::{ClassRule, Front, Rules};
 use link::{Door, spawn, spawn_with};
 use settings::Config;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-/// Descriptors kept for the listener, discovery, the counter, `may` and the standard streams.
-const SPARE_SOCKETS: usize = 64;
+/// Descriptors kept for the listener, discovery, the counter with its lanes before and after a reload, the file that is
+/// read at a reload, `may`, the signals and the standard streams.
+const SPARE_SOCKETS: usize = 40;
 
 /// Reads the configuration, serves until a signal, and answers what was taken.
 ///
@@ -65,6 +66,22 @@
     }
 }
 
+/// What the settings ask of a request.
+fn rules(config: &Config) -> Rules {
+    let classes = config.classes.iter().zip(&config.settings.classes);
+    let classes = classes.map(|(name, class)| ClassRule {
+        name: name.clone(),
+        repeatable: class.effect == Effect::Safe,
+        deadline_ms: class.deadline.div_ceil(1000),
+    });
+    Rules {
+        classes: classes.collect(),
+        plans: config.plans.clone(),
+        gatekeepers: u64::from(config.settings.gateways),
+        largest: config.largest,
+    }
+}
+
 /// What signals act on.
 struct Parts {
     front: Arc<Front>,
@@ -76,14 +93,16 @@
 fn start(config: Config) -> Result<Parts, String> {
     let clock = Clock::start();
     let sockets = config.sockets.saturating_sub(SPARE_SOCKETS).max(16);
+    // Clients hold a third of all descriptors for requests. Room above that is for those that only hold on to them.
+    let front_sockets = sockets * 3 / 5;
     let limits = Limits {
         connect: Duration::from_micros(config.settings.connect_timeout),
         idle: Duration::from_micros(config.keepalive / 2),
-        connections: sockets / 2,
+        connections: sockets - front_sockets,
         answer: resp::LARGEST_MESSAGE,
     };
     let columns = config.settings.report.clone();
-    let names = Names { classes: config.classes.clone(), plans: config.plans.clone() };
+    let rules = rules(&config);
     let exchange = Exchange::new(config.settings.clone(), config.seed, clock).map_err(|e| e.to_string())?;
     let pools = Pools::new(RespDestination { columns }, limits);
     pools.connect(exchange.clone());
@@ -108,9 +127,11 @@
             told.listed(kind, entries);
         });
     });
-    let (swept_watch, swept_counter) = (watch.clone(), counter.clone());
-    crate::clock::run(exchange.clone(), move || {
+    let front = Front::new(exchange.clone(), rules, front_sockets);
+    let (swept_front, swept_watch, swept_counter) = (front.clone(), watch.clone(), counter.clone());
+    crate::clock::run(exchange, move || {
         pools.sweep();
+        swept_front.sweep();
         swept_watch.sweep();
         if let Some(counter) = &swept_counter {
             counter.sweep();
@@ -119,7 +140,6 @@
 
     let door = Door::open(config.listen).map_err(|e| format!("{}: {e}", config.listen))?;
     let door = Arc::new(door);
-    let front = Front::new(exchange, names, sockets / 2);
     front.set_ready();
     println!("{}: serving on {}", config.name, door.address().map_err(|e| e.to_string())?);
     let (accepting, entrance) = (front.clone(), door.clone());
--- a/crates/snowfield/tests/platform.rs
+++ b/crates/snowfield/tests/platform.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::*;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::mpsc::{Receiver, Sender, channel};
 
@@ -21,11 +22,12 @@
     counter: Option<SocketAddr>,
     gatekeepers: u32,
     attempts: u32,
+    sockets: u32,
 }
 
 impl Default for Shape<'_> {
     fn default() -> Self {
-        Self { destinations: &[], counter: None, gatekeepers: 1, attempts: 3 }
+        Self { destinations: &[], counter: None, gatekeepers: 1, attempts: 3, sockets: 1024 }
     }
 }
 
@@ -48,7 +50,7 @@
     let known = list(40, true, &hosts(shape.destinations));
     format!(
         r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{agent}","seed":"8c1f30d27a5be964",{counter}
-        "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{known},
+        "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"known":{known},
         "settings":{{"balancers":{gatekeepers},"me":0,"tick-us":4000,"zone":0,"localities":["z"],"kinds":["m"],
         "bounds":{{"cancel":true,"connect-timeout-us":250000,"keepalive-us":30000000,"max-attempts":{attempts},
         "max-retry-after-us":1000000,"retry-after":true,"second-copies":true}},
@@ -57,7 +59,8 @@
         "report":{{"columns":["active","waiting","avg_ms"],"how":"inline"}},
         "specifics":{{"may-count":true,"count-wait-us":30000,"largest":8}}}}}}"#,
         gatekeepers = shape.gatekeepers,
-        attempts = shape.attempts
+        attempts = shape.attempts,
+        sockets = shape.sockets
     )
 }
 
@@ -71,7 +74,12 @@
 }
 
 fn query(id: u32, wait_ms: u32, units: u32) -> Vec<u8> {
-    let fields = format!("c=lookup,t=team,d={wait_ms},units={units},spread=2,first=0");
+    query_of(id, wait_ms, units, 1)
+}
+
+/// A request of a customer that comes through so many gatekeepers.
+fn query_of(id: u32, wait_ms: u32, units: u32, spread: u32) -> Vec<u8> {
+    let fields = format!("c=lookup,t=team,d={wait_ms},units={units},spread={spread},first=0");
     words(&["SVC.QUERY", "00000000b4d65521", &format!("{id:016x}"), &fields])
 }
 
@@ -102,7 +110,7 @@
     assert_eq!(got[..3], ["SVC.QUERY".to_owned(), "00000000b4d65521".to_owned(), id(1)]);
     let (before, after) = got[3].split_once(",d=").expect("d stays in its place");
     let (wait, after) = after.split_once(',').expect("what follows d stays");
-    assert_eq!((before, after), ("c=lookup,t=team", "units=2,spread=2,first=0"));
+    assert_eq!((before, after), ("c=lookup,t=team", "units=2,spread=1,first=0"));
     let wait: u32 = wait.parse().expect("milliseconds");
     assert!((1..480).contains(&wait), "it says how long the gatekeeper will wait: {wait}");
 }
@@ -115,12 +123,7 @@
         (&["CLIENT", "SETNAME", "x"][..], "+OK"),
         (&["SELECT", "0"], "+OK"),
         (&["HELLO", "3"], "-ERR unknown command"),
-        (&["SVC.QUERY", "00000000b4d65521"], "-ERR too few words"),
-        (
-            &["SVC.QUERY", "b4", "01", "c=lookup,t=nobody,d=9,units=1,spread=1,first=0"],
-            "-ERR malformed request",
-        ),
-        (&["SVC.QUERY", "b4", "01", "c=lookup,t=team,units=1,spread=1,first=0"], "-ERR malformed request"),
+        (&["SVC.QUERY", "00000000b4d65521"], "-ERR wrong number of words"),
     ] {
         client.send(&words(ask));
         assert_eq!(client.reply(), answer, "{ask:?}");
@@ -142,6 +145,96 @@
     assert_eq!(client.reply(), id(1));
 }
 
+/// Guards the turn of an error: it once overtook the answers before it, and its close ended their operations. What comes
+/// behind it must not reset it away either, however much that is.
+#[test]
+fn a_malformed_command_has_its_error_in_turn_and_ends_nothing_before_it() {
+    let (release, word) = channel();
+    let word = std::sync::Mutex::new(Some(word));
+    let (at, seen) = destination(command, move |words| {
+        let word = word.lock().expect("no stand-in panics").take().expect("one request");
+        Does::SayAfter(word, value(&words[2]))
+    });
+    let site = site("in-turn", &Shape { destinations: &[at], ..Shape::default() });
+    let mut client = Client::connect(site.listen);
+    client.send(&[&query(1, 2400, 1)[..], b"*2\r\n:1\r\n:2\r\n", &query(2, 2400, 1)].concat());
+    let mut endless = client.writes.try_clone().expect("a second handle");
+    let sends = std::thread::spawn(move || while endless.write_all(&[b'k'; 4096]).is_ok() {});
+    asked(&seen);
+    release.send(()).expect("the stand-in waits");
+    assert_eq!(client.reply(), id(1));
+    assert!(client.reply().starts_with("-ERR"));
+    assert!(client.ended());
+    sends.join().expect("the end reaches a client that only sends");
+    assert_eq!(all_asked(&seen).len(), 0, "what came behind it is not looked at");
+}
+
+/// Guards against clients that say nothing, or half a command: each has an error or the end in the protocol's 3 s.
+#[test]
+fn silent_and_half_sent_sockets_end() {
+    let site = site("half", &Shape::default());
+    let mut silent = Client::connect(site.listen);
+    let mut half = Client::connect(site.listen);
+    half.send(b"*4\r\n$9\r\nSVC.QU");
+    assert!(half.reply().starts_with("-ERR"));
+    assert!(half.ended() && silent.ended());
+}
+
+/// Guards against clients that keep their connections for good: a full table once turned all others away.
+#[test]
+fn idle_sockets_make_room_for_new_ones() {
+    let (at, _seen) = echo();
+    let site = site("room", &Shape { destinations: &[at], sockets: 96, ..Shape::default() });
+    let mut kept: Vec<Client> = (0..60)
+        .map(|_| {
+            let mut client = Client::connect(site.listen);
+            client.send(&words(&["PING"]));
+            client
+        })
+        .collect();
+    // More than the table holds: the later ones are served once the first have been idle for long enough.
+    for client in &mut kept {
+        assert_eq!(client.reply(), "+PONG");
+    }
+    let mut last = Client::connect(site.listen);
+    last.send(&query(1, 2400, 1));
+    assert_eq!(last.reply(), id(1));
+}
+
+/// Guards the others' share of the worker: a client that repeats an error is read again only after a pause.
+#[test]
+fn a_client_that_repeats_errors_is_slowed_down() {
+    let site = site("repeats", &Shape::default());
+    let mut client = Client::connect(site.listen);
+    let begun = std::time::Instant::now();
+    for _ in 0..20 {
+        client.send(&words(&["NONSENSE"]));
+        assert!(client.reply().starts_with("-ERR"));
+    }
+    assert!(begun.elapsed().as_millis() >= 19 * 20, "{:?}", begun.elapsed());
+}
+
+/// Guards against serving one client's request to another: an id stands for one open request.
+#[test]
+fn the_id_of_an_open_request_is_refused_and_free_again_after_its_answer() {
+    let (release, word) = channel();
+    let word = std::sync::Mutex::new(Some(word));
+    let (at, seen) = destination(command, move |words| {
+        let word = word.lock().expect("no stand-in panics").take();
+        word.map_or(Does::Say(value(&words[2])), |word| Does::SayAfter(word, value(&words[2])))
+    });
+    let site = site("ids", &Shape { destinations: &[at], ..Shape::default() });
+    let (mut first, mut second) = (Client::connect(site.listen), Client::connect(site.listen));
+    first.send(&query(1, 2400, 1));
+    asked(&seen);
+    second.send(&query(1, 2400, 1));
+    assert_eq!(second.reply(), "-ERR the id is that of an open request");
+    release.send(()).expect("the stand-in waits");
+    assert_eq!(first.reply(), id(1));
+    second.send(&query(1, 2400, 1));
+    assert_eq!(second.reply(), id(1));
+}
+
 #[test]
 fn pipelined_commands_are_answered_in_their_order() {
     let (release, word) = channel();
@@ -182,7 +275,7 @@
     let shape = Shape { destinations: &[at], counter: Some(counter), gatekeepers: 2, ..Shape::default() };
     let site = site("counter", &shape);
     let mut client = Client::connect(site.listen);
-    client.send(&query(1, 2400, 1));
+    client.send(&query_of(1, 2400, 1, 2));
     assert_eq!(client.reply(), id(1));
     let (name, amount) = next(&added);
     assert_eq!((name.len(), amount), (16, 1.0));
@@ -353,7 +446,7 @@
     let shape = Shape { destinations: &[at], counter: Some(old_counter), gatekeepers: 2, ..Shape::default() };
     let mut site = site("sighup", &shape);
     let mut client = Client::connect(site.listen);
-    client.send(&query(1, 2500, 1));
+    client.send(&query_of(1, 2500, 1, 2));
     next(&old_added);
     asked(&seen);
 
@@ -372,7 +465,7 @@
 
     release.send(()).expect("the stand-in waits");
     assert_eq!(client.reply(), id(1), "taken before the reload");
-    client.send(&query(2, 2500, 1));
+    client.send(&query_of(2, 2500, 1, 2));
     assert_eq!(client.reply(), id(2));
     next(&new_added);
 
@@ -380,7 +473,7 @@
     let (other, _) = destination(command, |_| Does::Say(value("other")));
     watch.send(list(41, true, &[host("s-9", other, "up")])).expect("the watch is open");
     for number in 3.. {
-        client.send(&query(number, 2500, 1));
+        client.send(&query_of(number, 2500, 1, 2));
         if client.reply() == "other" {
             break;
         }
