Find spoilt answers at once, keep late bytes from the next request, read 1xx everywhere

Checked with a probe that logged each form (removed): '*3 *3 *3' was waited on until the attempt was given up (1.6 s), since message_end() asks for the whole message first; '=,=' as a load report became [0, 0, 0], an idle destination (resp.rs load()); spoilt totals (-, inf, nan, 1x7, noise) counted against the counter, which was logged as silent twice while it answered; a line of noise that begins with '-' would have said that nothing was added (counter read()). Bytes behind an answer came in the same read or within 70 us: a connection that was reused in that gap would have read them as the next answer (destination place_for()). Discovery and Consul took a 1xx answer for the final one. Now: answers are read piece by piece, unknown figures are NaN or absent, a connection rests 5 ms after an answer and is looked at before it is reused, spoilt totals are told as Error (added, total unknown) and asked for again where a request waits, the oldest call on the connection is that one and those behind it are resets. Tests: a_good_value_with_..., each_form_..., a_spoilt_answer_..., half_an_answer_..., interim_answers_..., a_connection_rests_..., a_total_that_cannot_be_read_...

--- a/crates/consul/src/lib.rs
+++ b/crates/consul/src/lib.rs
@@ -233,7 +233,7 @@
             Incoming::Woken => continue,
         };
         if head.is_none() {
-            let Some(told) = http::answer_head(&raw, false).map_err(|e| failed(&e))? else {
+            let Some((told, from)) = http::final_head(&raw, false).map_err(|e| failed(&e))? else {
                 if end {
                     return Err(QueryError("it closed without an answer".into()));
                 }
@@ -242,9 +242,9 @@
             if told.status != 200 {
                 return Err(QueryError(format!("status {}", told.status)));
             }
-            let index = http::values(&raw, &told.fields, "x-consul-index").next();
+            let index = http::values(&raw[from..], &told.fields, "x-consul-index").next();
             let index = index.and_then(|v| std::str::from_utf8(v).ok()).and_then(|v| v.trim().parse().ok());
-            raw.drain(..told.end);
+            raw.drain(..from + told.end);
             head = Some((told.framing, index.unwrap_or(0)));
         }
         let Some((framing, index)) = head else { continue };
--- a/crates/counter/src/lib.rs
+++ b/crates/counter/src/lib.rs
@@ -21,6 +21,8 @@
 /// nothing.
 const SILENCE: Duration = Duration::from_millis(1_000);
 const CONNECT: Duration = Duration::from_millis(250);
+/// An answer is a few bytes and comes in one piece: one that is not whole after this never will be.
+const WHOLE_WITHIN: Duration = Duration::from_millis(100);
 
 /// Tells how a call ended: its number, its outcome and the total.
 pub type Told = Box<dyn Fn(u64, Outcome, f64) + Send + Sync>;
@@ -52,6 +54,8 @@
 struct CallsOut {
     /// Calls written and not answered, oldest first.
     calls: VecDeque<u64>,
+    /// Since when an answer is here that is not whole.
+    partial: Option<Instant>,
     /// The counter has moved: no more calls go out here, and the connection ends with the last answer.
     retired: bool,
 }
@@ -165,6 +169,10 @@
         resp::put_command(&mut bytes, &[b"TALLY", name.as_bytes(), add.as_bytes(), keep.as_bytes()]);
         // Held while the bytes go out: calls must be queued in the order in which they are written.
         let mut out = locked(&connection.out);
+        if out.partial.is_some_and(|since| since.elapsed() > WHOLE_WITHIN) {
+            connection.link.close();
+            return Write::Retired;
+        }
         if out.retired {
             return Write::Retired;
         }
@@ -178,6 +186,16 @@
         Write::Written
     }
 
+    /// Bytes that are no answer stand where the oldest call's answer should: that one was added.
+    fn spoilt(&self, connection: &Connection) {
+        let id = locked(&connection.out).calls.pop_front();
+        if let Some(id) = id {
+            (self.told)(id, Outcome::Error, 0.0);
+        }
+    }
+
+    /// Reads answers until the connection ends or one cannot be read: then it is of no further use, and what became of the
+    /// calls behind is not known.
     fn read(&self, connection: &Connection) -> Result<(), Malformed> {
         let mut buffer = Vec::new();
         loop {
@@ -187,7 +205,9 @@
                 Ok(Incoming::End) | Err(_) => return Ok(()),
             }
             let mut at = 0;
-            while let Some((element, next)) = resp::element(&buffer, at)? {
+            while let Some((element, next)) =
+                resp::element(&buffer, at).inspect_err(|_| self.spoilt(connection))?
+            {
                 let Some(id) = locked(&connection.out).calls.pop_front() else {
                     return Err(Malformed("an answer to no call"));
                 };
@@ -195,18 +215,25 @@
                     Element::Bulk(text) => std::str::from_utf8(&buffer[text.clone()]).ok(),
                     _ => None,
                 };
-                match (element, total.and_then(|t| t.trim().parse::<f64>().ok()).filter(|t| t.is_finite())) {
-                    (Element::Bulk(_), Some(total)) => (self.told)(id, Outcome::Ok, total),
-                    (Element::Error(_), _) => (self.told)(id, Outcome::Full, 0.0),
-                    _ => {
-                        (self.told)(id, Outcome::Reset, 0.0);
+                let refused = match &element {
+                    Element::Error(text) => refuses(&buffer[text.clone()]),
+                    _ => false,
+                };
+                match total.and_then(|t| t.trim().parse::<f64>().ok()).filter(|t| t.is_finite()) {
+                    Some(total) => (self.told)(id, Outcome::Ok, total),
+                    None if refused => (self.told)(id, Outcome::Full, 0.0),
+                    None => {
+                        // The counter has had the call, and has added its amount, but the total is not to be read.
+                        (self.told)(id, Outcome::Error, 0.0);
                         return Err(Malformed("an answer of an unknown form"));
                     }
                 }
                 at = next;
             }
             buffer.drain(..at);
-            let out = locked(&connection.out);
+            let mut out = locked(&connection.out);
+            out.partial =
+                (!buffer.is_empty()).then(|| out.partial.filter(|_| at == 0).unwrap_or_else(Instant::now));
             if out.retired && out.calls.is_empty() {
                 return Ok(());
             }
@@ -214,6 +241,11 @@
     }
 }
 
+/// Whether an error line says that nothing was added. Any other is no answer of the counter's.
+fn refuses(line: &[u8]) -> bool {
+    matches!(line.split(|&b| b == b' ').next(), Some(b"BUSY" | b"ERR"))
+}
+
 impl QuotaCounter for CounterClient {
     fn call(&self, call: CounterCall) {
         let place = self.lane(call.name);
--- a/crates/counter/tests/client.rs
+++ b/crates/counter/tests/client.rs
@@ -150,15 +150,44 @@
     next(&accepted);
 }
 
+/// Guards the outcomes of spoilt answers: the call in front has been added, of those behind nothing is known, and an
+/// error line that the counter never writes does not say that nothing was added.
 #[test]
-fn an_answer_of_another_form_ends_the_connection() {
+fn a_spoilt_answer_was_added_and_ends_the_connection() {
+    for spoilt in ["*1\r\n:1\r\n", "$3\r\nnan\r\n", "$1\r\n-\r\n", "+\r\n", "-\u{7f}BUSYNESS\r\n", "{noise"] {
+        let (at, accepted) = counter();
+        let (client, told) = client(at);
+        client.call(call(1, 1.0));
+        client.call(call(2, 1.0));
+        let mut counter = next(&accepted);
+        counter.call();
+        counter.call();
+        counter.say(spoilt);
+        assert_eq!(
+            [next(&told), next(&told)],
+            [(1, Outcome::Error, 0.0), (2, Outcome::Reset, 0.0)],
+            "{spoilt:?}"
+        );
+    }
+}
+
+/// Guards against an answer that never becomes whole: calls behind it would wait until the connection counts as dead.
+#[test]
+fn half_an_answer_does_not_hold_up_the_next_calls() {
     let (at, accepted) = counter();
     let (client, told) = client(at);
     client.call(call(1, 1.0));
-    client.call(call(2, 1.0));
-    let mut counter = next(&accepted);
-    counter.say("*1\r\n:1\r\n");
-    assert_eq!((next(&told).1, next(&told).1), (Outcome::Reset, Outcome::Reset));
+    let mut first = next(&accepted);
+    first.call();
+    first.say("$5\r\n1");
+    let mut second = (2..).find_map(|id| {
+        client.call(call(id, 1.0));
+        accepted.recv_timeout(Duration::from_millis(20)).ok()
+    });
+    let second = second.as_mut().expect("another connection");
+    second.call();
+    second.say("$1\r\n7\r\n");
+    while next(&told).1 != Outcome::Ok {}
 }
 
 /// Guards a reload: calls that are out at the old address keep their answers, and no new one goes there.
--- a/crates/destination/src/lib.rs
+++ b/crates/destination/src/lib.rs
@@ -22,6 +22,9 @@
 const READ: usize = 8 * 1024;
 /// A buffer larger than this is given back once its answer is through.
 const KEPT_BUFFER: usize = 32 * 1024;
+/// A connection rests this long after an answer before it carries the next step. Bytes that come behind an answer, a
+/// second copy or noise, would else be read as the answer to the next request.
+const REST: Duration = Duration::from_millis(5);
 
 /// What came of the bytes at hand.
 #[derive(Debug)]
@@ -182,11 +185,16 @@
         let table = &mut *state;
         let pool = table.pools.get_mut(&step.destination)?;
         let address = pool.place.address;
-        while let Some((connection, _)) = pool.idle.pop() {
-            if !connection.link.is_closed() {
+        // The one used last that has rested. What has news for nobody speaks out of turn or has ended: its own coroutine
+        // closes it when it comes to that.
+        let now = Instant::now();
+        while let Some(at) = pool.idle.iter().rposition(|(_, since)| now.duration_since(*since) >= REST) {
+            let (connection, _) = pool.idle.remove(at);
+            if !connection.link.is_closed() && !connection.link.has_news() {
                 table.busy.insert(step.id, Busy::On(connection.clone()));
                 return Some((Some(connection), address));
             }
+            connection.link.close();
         }
         if table.open >= self.limits.connections {
             // Another destination's idle connection makes room.
--- a/crates/destination/src/resp.rs
+++ b/crates/destination/src/resp.rs
@@ -34,43 +34,50 @@
 type Answer = (usize, StepEnd<Vec<u8>>);
 
 impl RespDestination {
+    /// The answer at the start of the buffer. It is looked at piece by piece, so that bytes from which no answer can
+    /// come are found before more of them are waited for.
     fn answer(&self, buffer: &[u8]) -> Result<Option<Answer>, Malformed> {
-        let Some(used) = resp::message_end(buffer, 0)? else { return Ok(None) };
         let Some((first, at)) = resp::element(buffer, 0)? else { return Ok(None) };
         match first {
             Element::Array(items @ 1..) => {
-                let Some(after) = resp::message_end(buffer, at)? else { return Ok(None) };
-                let Some((Element::Bulk(_), _)) = resp::element(buffer, at)? else {
+                if buffer.get(at).is_some_and(|&kind| kind != b'$') {
                     return Err(Malformed("an answer without a value"));
+                }
+                let Some((Element::Bulk(_), after)) = resp::element(buffer, at)? else {
+                    let whole = resp::element(buffer, at)?.is_some();
+                    return if whole { Err(Malformed("an answer without a value")) } else { Ok(None) };
                 };
-                let mut load = Vec::new();
-                // The load report is the third item.
-                if items >= 3
-                    && let Some(third) = resp::message_end(buffer, after)?
-                    && let Some((Element::Bulk(report), _)) = resp::element(buffer, third)?
-                {
-                    load = self.load(&buffer[report]);
+                let (mut from, mut load) = (after, Vec::new());
+                for item in 1..items {
+                    // A figure that cannot be read spoils nothing. But where the frames do not fit, the value may have been
+                    // cut by a wrong length of its own.
+                    let end = resp::message_end(buffer, from).or_else(|_| resp::integer_end(buffer, from))?;
+                    let Some(end) = end else { return Ok(None) };
+                    // The load report is the third item.
+                    if let (2, Ok(Some((Element::Bulk(report), _)))) = (item, resp::element(buffer, from)) {
+                        load = self.load(&buffer[report]);
+                    }
+                    from = end;
                 }
                 let answer = Some(buffer[at..after].to_vec());
-                Ok(Some((used, StepEnd { outcome: Outcome::Ok, answer, load })))
+                Ok(Some((from, StepEnd { outcome: Outcome::Ok, answer, load })))
             }
             Element::Error(text) => {
                 let text = &buffer[text];
                 let word = text.split(|&b| b == b' ').next().unwrap_or_default();
                 let outcome = if word == b"BUSY" { Outcome::Full } else { Outcome::Error };
                 let load = text.rsplit(|&b| b == b' ').next().map_or(Vec::new(), |last| self.load(last));
-                Ok(Some((used, StepEnd { outcome, answer: None, load })))
+                Ok(Some((at, StepEnd { outcome, answer: None, load })))
             }
             _ => Err(Malformed("an answer of an unknown form")),
         }
     }
 
-    /// The values of a report such as `inflight=7,queue=2`, in the order of the settings' columns.
+    /// The values of a report such as `inflight=7,queue=2`, in the order of the settings' columns. What it does not tell,
+    /// or tells in no number, is unknown and no zero: a destination must not look idle for it. Empty where nothing is
+    /// known.
     fn load(&self, report: &[u8]) -> Vec<f32> {
-        if !report.contains(&b'=') {
-            return Vec::new();
-        }
-        let mut values = vec![0.0; self.columns.len()];
+        let mut values = vec![f32::NAN; self.columns.len()];
         for (name, value) in resp::fields(report, 0..report.len()) {
             let column = match &report[name] {
                 b"inflight" | b"active" => Load::Active,
@@ -80,11 +87,12 @@
                 b"qps" | b"rps" => Load::Served,
                 _ => continue,
             };
-            let value = std::str::from_utf8(&report[value]).ok().and_then(|v| v.parse().ok());
+            let value = std::str::from_utf8(&report[value]).ok().and_then(|v| v.parse::<f32>().ok());
+            let value = value.filter(|v| v.is_finite() && *v >= 0.0);
             if let (Some(at), Some(value)) = (self.columns.iter().position(|&c| c == column), value) {
                 values[at] = value;
             }
         }
-        values
+        if values.iter().all(|v| v.is_nan()) { Vec::new() } else { values }
     }
 }
--- a/crates/destination/tests/resp.rs
+++ b/crates/destination/tests/resp.rs
@@ -57,11 +57,43 @@
         let answer = answer.map(|a| a.as_bytes().to_vec());
         assert_eq!(got, Some(Ok((bytes.len(), (outcome, answer, load)))), "{bytes:?}");
     }
-    for bytes in ["+OK\r\n", ":1\r\n", "*0\r\n", "*1\r\n:1\r\n", "$2\r\nhi\r\n"] {
+    // The last ones are found before they are whole: no answer begins so.
+    for bytes in [
+        "+OK\r\n",
+        ":1\r\n",
+        "*0\r\n",
+        "*1\r\n:1\r\n",
+        "$2\r\nhi\r\n",
+        "*3\r\n$-1\r\n",
+        "*3\r\n*3\r\n",
+        "*3\r\n:",
+    ] {
         assert!(matches!(read(bytes.as_bytes()), Some(Err(_))), "{bytes:?}");
     }
 }
 
+/// Guards against a destination that looks idle since its report cannot be read: unknown is no zero. And the value in
+/// front of such a report is good: it is served.
+#[test]
+fn a_good_value_with_an_unreadable_report_is_served_and_its_load_is_unknown() {
+    for (report, known) in [
+        ("$3\r\n=,=\r\n", ""),
+        ("$18\r\ninflight=x,queue=-\r\n", ""),
+        ("$20\r\ninflight=inf,queue=2\r\n", "[NaN, 2.0, NaN]"),
+    ] {
+        let (used, (outcome, answer, load)) = read(format!("*3\r\n$2\r\nhi\r\n$-1\r\n{report}").as_bytes())
+            .expect("it is whole")
+            .expect("it is good");
+        assert_eq!((outcome, answer), (Outcome::Ok, Some(b"$2\r\nhi\r\n".to_vec())), "{report}");
+        assert_eq!(used, 17 + report.len());
+        assert_eq!(if load.is_empty() { String::new() } else { format!("{load:?}") }, known);
+    }
+    let bytes = b"*3\r\n$2\r\nhi\r\n:x\r\n$-1\r\n";
+    assert_eq!(read(bytes), Some(Ok((bytes.len(), (Outcome::Ok, Some(b"$2\r\nhi\r\n".to_vec()), vec![])))));
+    // A value that a wrong length cuts where it holds the end of a line: the rest gives it away.
+    assert!(matches!(read(b"*3\r\n$2\r\nhi\r\nthe rest\r\n$-1\r\n$-1\r\n"), Some(Err(_))));
+}
+
 #[test]
 fn an_answer_is_the_same_however_it_is_cut_and_garbage_is_no_panic() {
     let bytes = b"*3\r\n$2\r\nhi\r\n*2\r\n$1\r\na\r\n:3\r\n$34\r\ninflight=7,queue=2,latency_ms=51.5\r\n";
--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -109,12 +109,12 @@
                 *heard = Instant::now();
             }
             if head.is_none() {
-                match http::answer_head(&raw, false) {
-                    Ok(Some(h)) if h.status == 200 => {
-                        raw.drain(..h.end);
+                match http::final_head(&raw, false) {
+                    Ok(Some((h, from))) if h.status == 200 => {
+                        raw.drain(..from + h.end);
                         head = Some(h);
                     }
-                    Ok(Some(h)) => return format!("status {}", h.status),
+                    Ok(Some((h, _))) => return format!("status {}", h.status),
                     Ok(None) => continue,
                     Err(error) => return error.to_string(),
                 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -238,6 +238,24 @@
     }
 }
 
+/// The head of the final answer and where it begins: interim answers (1xx) in front of it are passed over. `None` where
+/// more must come.
+///
+/// # Errors
+///
+/// As [`answer_head`], and an upgrade that nobody asked for.
+pub fn final_head(buffer: &[u8], to_head: bool) -> Result<Option<(AnswerHead, usize)>, Refusal> {
+    let mut from = 0;
+    loop {
+        let Some(head) = answer_head(&buffer[from..], to_head)? else { return Ok(None) };
+        match head.status {
+            101 => return Err(Refusal::Malformed("an upgrade that nobody asked for")),
+            100..200 => from += head.end,
+            _ => return Ok(Some((head, from))),
+        }
+    }
+}
+
 /// The head of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RequestHead {
@@ -448,16 +466,8 @@
 ///
 /// No valid answer can come any more.
 pub fn answer(buffer: &[u8], is_head: bool, end: bool) -> Result<Option<(Answer, usize, bool)>, Refusal> {
-    let mut from = 0;
-    let head = loop {
-        let Some(head) = answer_head(&buffer[from..], is_head)? else {
-            return if end { Err(Refusal::Malformed("an answer is cut short")) } else { Ok(None) };
-        };
-        match head.status {
-            101 => return Err(Refusal::Malformed("an upgrade that nobody asked for")),
-            100..200 => from += head.end,
-            _ => break head,
-        }
+    let Some((head, from)) = final_head(buffer, is_head)? else {
+        return if end { Err(Refusal::Malformed("an answer is cut short")) } else { Ok(None) };
     };
     let message = &buffer[from..];
     let rest = &message[head.end..];
--- a/crates/http/tests/cuts.rs
+++ b/crates/http/tests/cuts.rs
@@ -107,3 +107,14 @@
         assert!(http::answer(cut, false, true).is_err(), "cut short: {cut:?}");
     }
 }
+
+/// Guards the clients of discovery and Consul: an interim answer in front once counted as the answer.
+#[test]
+fn interim_answers_are_passed_over() {
+    let interim = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+    let bytes = [&interim[..], interim, b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"].concat();
+    let (head, from) = http::final_head(&bytes, false).unwrap().unwrap();
+    assert_eq!((head.status, from), (200, 2 * interim.len()));
+    assert_eq!(http::final_head(&bytes[..interim.len() + 5], false), Ok(None));
+    assert!(http::final_head(b"HTTP/1.1 101 Switching Protocols\r\n\r\n", false).is_err());
+}
--- a/crates/resp/src/lib.rs
+++ b/crates/resp/src/lib.rs
@@ -44,7 +44,8 @@
     Array(usize),
 }
 
-type Step<T> = Result<Option<T>, Malformed>;
+/// What is whole, `None` where more must come.
+pub type Step<T> = Result<Option<T>, Malformed>;
 
 /// A line without its end, and where the next begins.
 fn line(buffer: &[u8], from: usize) -> Step<(Range<usize>, usize)> {
@@ -99,6 +100,19 @@
     Ok(Some((element, next)))
 }
 
+/// Where the integer that starts at `from` ends, even if its digits cannot be read.
+///
+/// # Errors
+///
+/// It is no integer, or its line passes a limit.
+pub fn integer_end(buffer: &[u8], from: usize) -> Step<usize> {
+    match buffer.get(from) {
+        Some(b':') => Ok(line(buffer, from + 1)?.map(|(_, next)| next)),
+        Some(_) => Err(Malformed("no integer")),
+        None => Ok(None),
+    }
+}
+
 /// Where the message that starts at `from` ends, however deep its arrays lie.
 ///
 /// # Errors
--- a/crates/snowfield/tests/platform.rs
+++ b/crates/snowfield/tests/platform.rs
@@ -337,6 +337,28 @@
     }
 }
 
+/// Guards against a wrong value: bytes that follow an answer late were read as the answer to the next request, where the
+/// connection carried that at once.
+#[test]
+fn a_connection_rests_after_an_answer() {
+    let (tell, connected) = channel();
+    let tell = std::sync::Mutex::new(tell);
+    let at = listen(move |stream| {
+        let _ = tell.lock().expect("no stand-in panics").send(());
+        let mut reads = std::io::BufReader::new(stream.try_clone().expect("a second handle"));
+        while let Some(words) = command(&mut reads) {
+            let _ = (&stream).write_all(&value(&words[2]));
+        }
+    });
+    let site = site("rests", &Shape { destinations: &[at], ..Shape::default() });
+    let mut client = Client::connect(site.listen);
+    for number in 1..=8 {
+        client.send(&query(number, 2400, 1));
+        assert_eq!(client.reply(), id(number));
+    }
+    assert!(connected.try_iter().count() > 1, "a request right after an answer goes on another connection");
+}
+
 #[test]
 fn a_client_that_leaves_ends_its_operation() {
     let (at, seen) = destination(command, |_| Does::Nothing);
--- a/src/control.rs
+++ b/src/control.rs
@@ -432,6 +432,11 @@
             // It may have been added: telling it again could count it twice.
             _ => {}
         }
+        // Added, with a total that cannot be read: who waits for it needs it still.
+        if outcome == Outcome::Error && !c.waiting.is_empty() && self.call_counter(key, true, out) {
+            return;
+        }
+        let Some(c) = self.customers.get_mut(&key) else { return };
         let (waiting, pending) = (std::mem::take(&mut c.waiting), c.pending);
         self.tell_later(key, pending, 0);
         for id in waiting {
@@ -443,6 +448,11 @@
     fn judge_counter(&mut self, elapsed: Micros, outcome: Outcome, out: &mut Actions) {
         let longest = CALL_EVERY * 10.0 * f64::from(self.s.gateways);
         let k = &mut self.counter;
+        if outcome == Outcome::Error {
+            // It answered, if with nothing that can be read: neither slow nor silent.
+            (k.failures, k.answered) = (0, self.now);
+            return;
+        }
         if outcome == Outcome::Ok {
             (k.failures, k.answered) = (0, self.now);
             if k.silent.take().is_some() {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -156,6 +156,25 @@
     assert!((40..=80).contains(&sent), "{sent} units in 10 s");
 }
 
+/// Guards against spoilt answers of the counter, which tell that it lives and has added: they must neither silence it nor
+/// have those who wait for the total decided without one.
+#[test]
+fn a_total_that_cannot_be_read_is_asked_for_again_and_is_no_silence() {
+    let mut b = Bench::new(settings(), &backends(4));
+    let mut actions = b.feed(request(1, 0, 2.0));
+    for _ in 0..3 {
+        let (name, _) = count(&actions).expect("the total is asked for");
+        assert!(sends(&actions).is_empty() && !refused(&actions));
+        b.now += 200 * MS;
+        actions = b.feed(counted(name, 0.0, Outcome::Error));
+        assert!(!actions.iter().any(|a| matches!(a, Action::Log(_))), "it is not silent");
+    }
+    let (name, add) = count(&actions).expect("and again");
+    assert_eq!(add, 0.0, "what was added is not added again");
+    let actions = b.feed(counted(name, 1e4, Outcome::Ok));
+    assert!(refused(&actions), "the total that was waited for decides");
+}
+
 #[test]
 fn a_ceiling_holds_for_all_gateways_without_a_word_between_them_and_through_restarts() {
     let plan = Plan { ceiling_rate: 20.0, ceiling_burst: 40.0, ..Plan::default() };
