Copy only what is out at a silent backend: copies took a sixth of the fleet's work

At fault: second_copy() copied whatever was out for 0.4 of its aim; its work goes on though it is called off. Now a copy goes out only where the backend has answered nothing since the attempt was sent, and costs as much as five repeats of failed attempts, which stay as cheap as before: they are needed where answers come spoilt. Test: what_is_slow_at_a_backend_that_answers_is_not_copied

--- a/src/control.rs
+++ b/src/control.rs
@@ -67,6 +67,9 @@
 const COPY_PART: f64 = 0.4;
 const COPY_SHARE: f64 = 0.1;
 const COPY_MOST: f64 = 10.0;
+/// Such copies that a second one costs beside an attempt that is still out. A failed attempt has to be made again, and
+/// costs one; a slow one mostly answers yet, and its work goes on though it is called off.
+const COPY_COST: f64 = 5.0;
 /// Standard deviations of chance left free in what a cold backend is sent.
 const COLD_CHANCE: f64 = 2.0;
 /// Part of a cap on open attempts that all gateways together aim at: what goes out above the cap takes places
@@ -798,11 +801,12 @@
         // Its answer will be late at best: known before it comes.
         self.note_part(1.0, sent);
         self.judge(backend, relative.min(WORST));
-        if !latest || self.copies < 1.0 || self.ratio() < RATIO_FLOOR {
+        let alive = self.backends.get(&backend).is_some_and(|b| b.answered > sent);
+        if alive || !latest || self.copies < COPY_COST || self.ratio() < RATIO_FLOOR {
             return;
         }
         if let Some(backend) = self.choose_again(id, true) {
-            self.copies -= 1.0;
+            self.copies -= COPY_COST;
             self.send(id, backend, out);
         }
     }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -156,6 +156,24 @@
     assert!((40..=80).contains(&sent), "{sent} units in 10 s");
 }
 
+/// Guards the fleet under load: an attempt that is merely slow answers yet, and a copy's work goes on beside it. Copies of
+/// all that was slow once took a sixth of the fleet's work, and jams fed on them.
+#[test]
+fn what_is_slow_at_a_backend_that_answers_is_not_copied() {
+    for (answers, copies) in [(true, 0), (false, 1)] {
+        let mut b = Bench::new(Settings { plans: vec![Plan::default()], ..settings() }, &backends(2));
+        let slow = sends(&b.request(1, 0, 1.0))[0];
+        // The same backend has served another request meanwhile, or has not.
+        let other = (2..10).find(|&id| sends(&b.request(id, 0, 1.0)) == [slow]).expect("one goes there too");
+        b.now += 200 * MS;
+        if answers {
+            b.end(other, 0, slow, Outcome::Ok);
+        }
+        let copy = b.feed(Event::Timer { token: 2 << 56 | 1 });
+        assert_eq!(sends(&copy).len(), copies, "it answers: {answers}");
+    }
+}
+
 /// Guards against spoilt answers of the counter, which tell that it lives and has added: they must neither silence it nor
 /// have those who wait for the total decided without one.
 #[test]
