--- a/src/control.rs
+++ b/src/control.rs
@@ -67,8 +67,8 @@
 const COPY_PART: f64 = 0.4;
 const COPY_SHARE: f64 = 0.1;
 const COPY_MOST: f64 = 10.0;
-/// Such copies that a second one costs beside an attempt that is still out. A failed attempt has to be made again, and
-/// costs one; a slow one mostly answers yet, and its work goes on though it is called off.
+/// Such copies that a second one costs beside an attempt that is still out. A failed attempt has to be made
+/// again, and costs one; a slow one mostly answers yet, and its work goes on though it is called off.
 const COPY_COST: f64 = 5.0;
 /// Standard deviations of chance left free in what a cold backend is sent.
 const COLD_CHANCE: f64 = 2.0;
