--- a/crates/front_resp/src/lib.rs
+++ b/crates/front_resp/src/lib.rs
@@ -29,8 +29,8 @@
 /// A command must be whole this long after it began. With the time between two sweeps, what is never whole has its
 /// error within the 3 s in which it is owed.
 const WHOLE_WITHIN: Duration = Duration::from_millis(1_500);
-/// Clients send as soon as they are connected: one that has sent nothing of use after this makes room for others when the
-/// table is full.
+/// Clients send their request as soon as they are connected: one that has sent none after this makes room for others when
+/// the table is full. Bad clients connect by the hundred and say nothing, or no more than `PING`.
 const SILENT: Duration = Duration::from_millis(250);
 /// How long a socket that was told its end may take to read that.
 const LINGER: Duration = Duration::from_millis(400);
@@ -80,6 +80,8 @@
     idle: Instant,
     /// A command has come that can be used.
     spoken: bool,
+    /// An operation has come.
+    used: bool,
     /// Nothing more is read; the socket ends with the last turn.
     ending: bool,
     /// Room is needed: it ends if it is idle.
@@ -119,6 +121,7 @@
             partial: None,
             idle: Instant::now(),
             spoken: false,
+            used: false,
             ending: false,
             unwanted: false,
         };
@@ -139,7 +142,7 @@
 
     /// Whether it may be closed to make room, and how long it has been idle.
     fn makes_room(&self) -> Option<Duration> {
-        self.idle_for().filter(|&idle| idle >= if self.spoken { QUIET } else { SILENT })
+        self.idle_for().filter(|&idle| idle >= if self.used { QUIET } else { SILENT })
     }
 }
 
@@ -372,8 +375,10 @@
             (turns.push(), turns.waiting >= MOST_WAITING)
         };
         let ask = self.ask(raw, words);
-        if !matches!(ask, Ask::Error(_)) {
-            locked(&socket.turns).spoken = true;
+        {
+            let mut turns = locked(&socket.turns);
+            turns.spoken |= !matches!(ask, Ask::Error(_));
+            turns.used |= matches!(ask, Ask::Submit(..));
         }
         match ask {
             Ask::Answer(bytes) => self.answer(socket, turn, bytes.to_vec()),
