Try a silent counter though there is nothing to tell, or its return is never noticed

Checked with probes (removed): the lanes ended at 7.8 s as they should and no connection was asked for again; requests were refused by the own part with a last total 17 s old. At fault: control.rs call_counter() makes a call that nobody awaits only with something to tell. Calls that timed out may have been added and are not told again, spend in silence is not told, so there was nothing, for good. Now housekeeping asks for any customer's total when the next trial is due. Test: a_silent_counter_is_tried_though_there_is_nothing_to_tell

--- a/src/control.rs
+++ b/src/control.rs
@@ -887,6 +887,15 @@
         for key in dirty.copied().filter(due).collect::<Vec<u64>>() {
             self.call_counter(key, false, out);
         }
+        // In silence nothing is spent from the shared store, so there may be nothing to tell: any customer's
+        // total is asked for then, or the counter's return would never be noticed.
+        if self.counter.silent.is_some() && self.now >= self.counter.next_trial {
+            let asks = |c: &Customer| c.call.is_none() && c.set > 1.0 && self.s.plans[c.plan].rate > 0.0;
+            let mut all = self.customers.range(from..).chain(self.customers.range(..from));
+            if let Some((&key, _)) = all.find(|(_, c)| asks(c)) {
+                self.call_counter(key, true, out);
+            }
+        }
         self.look_for_silence();
         if self.now >= self.fleet.since + FLEET_TICK {
             self.look_at_fleet();
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -156,6 +156,30 @@
     assert!((40..=80).contains(&sent), "{sent} units in 10 s");
 }
 
+/// Guards the counter's return: calls that ended without an answer may have been added and are not told again, so with
+/// nothing left to tell no call was ever made again, and the silence never ended.
+#[test]
+fn a_silent_counter_is_tried_though_there_is_nothing_to_tell() {
+    let mut b = Bench::new(settings(), &backends(4));
+    let mut actions = b.request(1, 0, 1.0);
+    for id in 2.. {
+        b.now += 100 * MS;
+        actions.extend(b.feed(request(id, 0, 0.1)));
+        while let Some((name, _)) = count(&actions) {
+            b.now += 50 * MS;
+            actions = b.feed(counted(name, 0.0, Outcome::Timeout));
+        }
+        if actions.iter().any(|a| matches!(a, Action::Log(_))) {
+            break;
+        }
+    }
+    let until = b.now + 2 * SECOND;
+    let (name, add) = count(&b.tick_until(until)).expect("a trial");
+    assert!(add.abs() < 0.2, "nothing is told twice: {add}");
+    let actions = b.feed(counted(name, 1.0, Outcome::Ok));
+    assert!(actions.iter().any(|a| matches!(a, Action::Log(text) if text.contains("answers again"))));
+}
+
 /// Guards the fleet under load: an attempt that is merely slow answers yet, and a copy's work goes on beside it. Copies of
 /// all that was slow once took a sixth of the fleet's work, and jams fed on them.
 #[test]
