OpenAPI front: idle sockets make room in a full table, as on the RESP2 front

At fault: front_openapi run() closed each new socket while the table was full, and sockets stay idle for up to 75 s. Now the socket that has been idle for longest, 2 s at least, ends, and new ones wait meanwhile. Test: idle_sockets_make_room_for_new_ones (appliance)

--- a/crates/front_openapi/src/lib.rs
+++ b/crates/front_openapi/src/lib.rs
@@ -8,7 +8,7 @@
 
 use exchange::{Exchange, FinalAnswer, Operation, Why};
 use http::{Answer, Body, Framing, Refusal, Request, RequestHead};
-use link::{Door, Incoming, Link, locked, spawn};
+use link::{Door, Incoming, Link, locked, sleep, spawn};
 use openapi::{Match, RouteTable};
 use problem::Problem;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -23,6 +23,10 @@
 const MOST_AHEAD: usize = 64 * 1024;
 /// A front socket that is idle for this long is closed.
 const IDLE: Duration = Duration::from_secs(75);
+/// In a full table a front socket that has been idle for this long makes room.
+const QUIET: Duration = Duration::from_secs(2);
+/// Between two looks for room in a full table.
+const LOOK: Duration = Duration::from_millis(2);
 /// us; an answer leaves this long before the deadline, for the timers' grain.
 const MARGIN: u64 = 10_000;
 
@@ -77,6 +81,8 @@
     link: Link,
     phase: Mutex<(Phase, Instant)>,
     answer: Mutex<Option<FinalAnswer<Answer>>>,
+    /// Room is needed: it ends if it is idle.
+    unwanted: AtomicBool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -139,17 +145,14 @@
     /// Accepts front sockets until the door is shut; runs in a coroutine.
     pub fn run(self: &Arc<Self>, door: &Door) {
         while let Some(link) = door.accept() {
-            let phase = Mutex::new((Phase::Idle, Instant::now()));
-            let socket = Arc::new(FrontSocket { link, phase, answer: Mutex::new(None) });
-            {
-                let mut sockets = locked(&self.sockets);
-                sockets.retain(|s| s.strong_count() > 0);
-                if sockets.len() >= self.setup.most_sockets {
-                    socket.link.close();
-                    continue;
-                }
-                sockets.push(Arc::downgrade(&socket));
+            // A full table keeps new sockets waiting until idle ones have made room: closed, they would only come again.
+            while self.is_full() {
+                self.make_room();
+                sleep(LOOK);
             }
+            let (phase, unwanted) = (Mutex::new((Phase::Idle, Instant::now())), AtomicBool::new(false));
+            let socket = Arc::new(FrontSocket { link, phase, answer: Mutex::new(None), unwanted });
+            locked(&self.sockets).push(Arc::downgrade(&socket));
             let front = self.clone();
             spawn(move || {
                 front.serve(&socket);
@@ -183,6 +186,27 @@
         }
     }
 
+    fn is_full(&self) -> bool {
+        let mut sockets = locked(&self.sockets);
+        sockets.retain(|s| s.strong_count() > 0);
+        sockets.len() >= self.setup.most_sockets
+    }
+
+    /// Has the socket end that has been idle for longest, if it has been for long enough.
+    fn make_room(&self) {
+        let idle = |s: &Arc<FrontSocket>| {
+            let (phase, since) = *locked(&s.phase);
+            (phase == Phase::Idle && since.elapsed() >= QUIET).then_some(since)
+        };
+        let sockets = self.open_sockets();
+        if let Some((_, socket)) =
+            sockets.iter().filter_map(|s| Some((idle(s)?, s))).min_by_key(|(at, _)| *at)
+        {
+            socket.unwanted.store(true, Ordering::Release);
+            socket.link.wake();
+        }
+    }
+
     fn open_sockets(&self) -> Vec<Arc<FrontSocket>> {
         locked(&self.sockets).iter().filter_map(Weak::upgrade).filter(|s| !s.link.is_closed()).collect()
     }
@@ -248,6 +272,11 @@
             Ok(Incoming::Bytes(_)) => socket.enter(Phase::Reading),
             Ok(Incoming::Woken) => {
                 let (phase, since) = *locked(&socket.phase);
+                // Only here, where nothing is left to read, is it sure that no request has come in unseen.
+                let unwanted = socket.unwanted.swap(false, Ordering::AcqRel);
+                if unwanted && phase == Phase::Idle && since.elapsed() >= QUIET {
+                    return Err(Stop::Gone);
+                }
                 if phase == Phase::Reading && since.elapsed() > self.setup.patience {
                     let detail = "the request came too slowly";
                     return Err(Stop::Problem(Problem::new(408, "Request Timeout", detail)));
--- a/crates/snowfield/tests/appliance.rs
+++ b/crates/snowfield/tests/appliance.rs
@@ -120,6 +120,7 @@
     plan: &'a str,
     deadline_ms: u32,
     patience_ms: u32,
+    sockets: u32,
 }
 
 impl Default for Shape<'_> {
@@ -130,6 +131,7 @@
             plan: "units_per_second = 100.0\nburst = 400.0",
             deadline_ms: 2500,
             patience_ms: 10_000,
+            sockets: 1024,
         }
     }
 }
@@ -158,6 +160,7 @@
 [limits]
 body_bytes = 1000
 patience_ms = {patience}
+sockets = {sockets}
 [[class]]
 name = "lookup"
 repeat = "safe"
@@ -181,6 +184,7 @@
         quota = shape.quota,
         deadline = shape.deadline_ms,
         patience = shape.patience_ms,
+        sockets = shape.sockets,
         plan = shape.plan
     )
 }
@@ -439,6 +443,19 @@
     assert_eq!(idle.ask(&get("/v1/loans/7")).status(), 200);
 }
 
+/// Guards against clients that keep their connections for good, as on the other front: a full table turned all others
+/// away.
+#[test]
+fn idle_sockets_make_room_for_new_ones() {
+    let site = site("room", &Shape { sockets: 128, ..Shape::default() });
+    let mut kept: Vec<Client> = (0..40).map(|_| Client::connect(site.listen)).collect();
+    kept.iter_mut().for_each(|client| client.send(get("/v1/nothing").as_bytes()));
+    // More than the table holds: the later ones have their answer once the first have been idle for long enough.
+    for client in &mut kept {
+        assert_eq!(client.answer().status(), 404);
+    }
+}
+
 #[test]
 fn critical_and_deregistered_instances_drain_and_new_ones_serve() {
     let (old, old_seen) = serving();
