Withdraw attempts whose connection is still being made before the final answer goes out

Checked: the module never calls off the other copy of a served operation, and pools run_connection() writes a step once its connection is up whether or not its operation is over. Ruled out: a step that was given up (give_up() takes it from busy). At fault: core.rs answer() gave the answer and left steps that were still connecting to go out later. Now each open step is withdrawn before the answer; the pool drops it if nothing of it is written and tells Cancelled. Under way, it goes on as before, since its work does too. Test: what_is_not_written_yet_is_withdrawn_before_the_final_answer

--- a/crates/destination/src/lib.rs
+++ b/crates/destination/src/lib.rs
@@ -359,6 +359,17 @@
         }
     }
 
+    fn withdraw(&self, step: StepId) {
+        let connecting = {
+            let mut state = locked(&self.state);
+            let connecting = matches!(state.busy.get(&step), Some(Busy::Connecting));
+            connecting && state.busy.remove(&step).is_some()
+        };
+        if connecting {
+            self.exchange().step_ended(step, StepEnd::plain(Outcome::Cancelled));
+        }
+    }
+
     fn give_up(&self, step: StepId) {
         let busy = locked(&self.state).busy.remove(&step);
         if let Some(Busy::On(connection)) = busy {
--- a/crates/exchange/src/core.rs
+++ b/crates/exchange/src/core.rs
@@ -13,6 +13,7 @@
 pub(crate) enum Effect<Q, A> {
     Start(RouteStep<Q>),
     GiveUp(StepId),
+    Withdraw(StepId),
     Answer(Reply<A>, FinalAnswer<A>),
     Call(CounterCall),
     Log(String),
@@ -248,6 +249,11 @@
             FinalAnswer::Failed(_) => 2,
         };
         self.status.answers[kind] += 1;
+        // Before the answer goes out: what is not written yet must not be sent on after it.
+        let steps = self.operations.get(&id).map_or(&[][..], |e| &e.steps);
+        for (attempt, _) in steps.iter().enumerate().filter(|(_, s)| s.open) {
+            self.effects.push_back(Effect::Withdraw(StepId { operation: id, attempt: attempt as u8 }));
+        }
         self.effects.push_back(Effect::Answer(reply, answer));
         self.forget(id);
     }
--- a/crates/exchange/src/core_tests.rs
+++ b/crates/exchange/src/core_tests.rs
@@ -15,6 +15,7 @@
         classes: vec![Class { aim: 600 * MS, deadline: 2500 * MS, ..Class::default() }],
         plans: vec![Plan { rate: 100.0, burst: 100.0, ..Plan::default() }],
         gateways: 2,
+        second_copies: true,
         counter: true,
         counter_wait: 30 * MS,
         ..Settings::default()
@@ -59,6 +60,7 @@
         match effect {
             Effect::Start(step) => asked.push(format!("start {} at {}", step.id.attempt, step.destination)),
             Effect::GiveUp(step) => asked.push(format!("give up {}", step.attempt)),
+            Effect::Withdraw(step) => asked.push(format!("withdraw {}", step.attempt)),
             Effect::Answer(reply, answer) => reply(answer),
             Effect::Call(call) => asked.push(format!("call {} add {}", call.id, call.add)),
             Effect::Log(text) => asked.push(text),
@@ -137,6 +139,20 @@
     assert_eq!(core.status.units_sent, 1.0);
 }
 
+/// Guards the rule that nothing is sent on after the final answer: a copy whose connection was still being made once was.
+#[test]
+fn what_is_not_written_yet_is_withdrawn_before_the_final_answer() {
+    let mut core = core(&[5, 6]);
+    let (id, _told) = submit(&mut core, START);
+    core.feed(START + 240 * MS, Event::Timer { token: 2 << 56 | u64::from(id) });
+    assert_eq!(effects(&mut core).len(), 2, "an attempt and its copy");
+    core.step_ended(START + 250 * MS, step(id, 0), served("value"));
+    let place =
+        |wanted: fn(&Effect<_, _>) -> bool| core.effects.iter().position(wanted).expect("it is there");
+    let withdrawn = place(|e| matches!(e, Effect::Withdraw(StepId { attempt: 1, .. })));
+    assert!(withdrawn < place(|e| matches!(e, Effect::Answer(..))));
+}
+
 /// Guards the counter's late answers: a call that was given up must not be answered any more.
 #[test]
 fn an_answer_to_a_counter_call_that_was_given_up_is_passed_over() {
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -118,6 +118,9 @@
     fn start(&self, step: RouteStep<Q>);
     /// Stops waiting for an attempt; its end is not told any more.
     fn give_up(&self, step: StepId);
+    /// Its operation has its final answer: an attempt of which nothing is written yet ends with
+    /// [`Outcome::Cancelled`]; one that is under way goes on.
+    fn withdraw(&self, step: StepId);
 }
 
 /// A call to the quota counter.
@@ -292,6 +295,11 @@
                     side.give_up(step);
                 }
             }
+            core::Effect::Withdraw(step) => {
+                if let Some(side) = self.destinations.get() {
+                    side.withdraw(step);
+                }
+            }
             core::Effect::Answer(reply, answer) => reply(answer),
             core::Effect::Call(call) => match self.counter.get() {
                 Some(counter) => counter.call(call),
