Share periodic duties among appliances: membership, claims, a scheduler and probes

Need: installations that run several appliances want probing and other periodic duties done by exactly one instance and taken over when it dies. There was no membership, no claim and no active probing. Change: new packages membership (SWIM on foca, datagrams with a BLAKE3 keyed hash), claims (check-and-set bound to a Consul session; the protocol is checked exhaustively with stateright), duties (rendezvous order, staggered stand-ins, rounds that are fencing tokens), probe (verdicts by round, bounded share), cluster (the threads), stand_in_consul, simulated, proofs. All of it is off unless the appliance's file has [cluster], [probe] or [[duty]].

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run check doc limits
+.PHONY: build test lint run check doc limits proof-duties
 
 # The most non-blank lines and the widest line of the decision module.
 LINES = 1010
@@ -27,4 +27,10 @@
 	echo "src/control.rs: $$lines non-blank lines ($(LINES) at most), widest line $$widest ($(WIDTH) at most)"; \
 	[ "$$lines" -le $(LINES) ] && [ "$$widest" -le $(WIDTH) ]
 
+# Shared duties: the model in full, the pure modules up to 1,000 instances, and real programs. About six minutes.
+proof-duties: build
+	cargo test --release --locked -p claims --test model -- --ignored --nocapture
+	target/release/proof-duties-simulated
+	target/release/proof-duties
+
 check: lint test doc build limits
--- /dev/null
+++ b/crates/proofs/src/bin/proof-duties-simulated.rs
@@ -0,0 +1,94 @@
+//! The pure modules of shared duties in simulated time, from 10 to 1,000 instances with ten duties each: a tenth of all
+//! datagrams lost, then half of the instances killed. Shows how the cost grows.
+
+use proofs::Table;
+use simulated::{Site, World};
+use std::process::ExitCode;
+use std::time::Instant;
+
+/// Milliseconds from round to round.
+const PERIOD: u64 = 5_000;
+
+/// Resident bytes of this process.
+fn resident() -> u64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    text.split_whitespace().nth(1).and_then(|pages| pages.parse::<u64>().ok()).unwrap_or(0) * 4_096
+}
+
+/// Lets time pass until this many see this many alive; how long that took, in milliseconds.
+fn until(world: &mut World, see: usize, most: u64) -> u64 {
+    let begun = world.now();
+    while world.seeing(see) < see && world.now() - begun < most {
+        world.pass(100);
+    }
+    world.now() - begun
+}
+
+fn main() -> ExitCode {
+    let mut bounds = Table::default();
+    println!(
+        "| instances | duties | all see all, s | claims a s | reads a s | gossip a s and instance, bytes | half dead seen by \
+         all, s | rounds missed in a row | doubles | memory of an instance, kB | of it a duty, bytes | took, s |\n\
+         | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |"
+    );
+    let sizes: Vec<usize> = match std::env::args().nth(1).and_then(|a| a.parse().ok()) {
+        Some(size) => vec![size],
+        None => vec![10, 30, 100, 300, 1_000],
+    };
+    let mut worst = 0;
+    for &instances in &sizes {
+        let begun = Instant::now();
+        let before = resident();
+        let site = Site {
+            instances,
+            duties: 10 * instances,
+            period: PERIOD,
+            standbys: 4,
+            skew: 100,
+            loss: 0.1,
+            gossip: 200,
+            seed: 7,
+        };
+        let mut world = World::new(site);
+        let joined = until(&mut world, instances, 120_000);
+        world.pass(3 * PERIOD);
+        world.worst_gap();
+        let calm = (world.counts(), world.now());
+        world.pass(4 * PERIOD);
+        let (counts, span) = (world.counts(), (world.now() - calm.1) as f64 / 1000.0);
+        let memory = (resident().saturating_sub(before)) as f64 / instances as f64 / 1024.0;
+        let calm_gap = world.worst_gap();
+        (0..instances / 2).for_each(|i| world.kill(i));
+        let alive = instances - instances / 2;
+        let noticed = until(&mut world, alive, 600_000);
+        world.pass(2 * PERIOD);
+        let gap = world.worst_gap();
+        let doubles = world.counts().doubles;
+        let rate = |after: u64, before: u64| (after - before) as f64 / span;
+        println!(
+            "| {instances} | {} | {:.1} | {:.0} | {:.0} | {:.0} | {:.1} | {calm_gap} calm, {gap} after | {doubles} | {memory:.0} | {:.0} | {:.0} |",
+            10 * instances,
+            joined as f64 / 1000.0,
+            rate(counts.claims.0, calm.0.claims.0),
+            rate(counts.reads, calm.0.reads),
+            rate(counts.datagrams.1, calm.0.datagrams.1) / instances as f64,
+            noticed as f64 / 1000.0,
+            memory * 1024.0 / (10 * instances) as f64,
+            begun.elapsed().as_secs_f64()
+        );
+        worst = worst.max(doubles);
+        bounds.at_most(&format!("{instances}: rounds run twice"), doubles as f64, 0.0);
+        bounds.at_most(&format!("{instances}: rounds missed in a row, calm"), calm_gap as f64, 1.0);
+        let claims =
+            rate(counts.claims.0, calm.0.claims.0) / (10 * instances) as f64 * PERIOD as f64 / 1000.0;
+        bounds.at_most(&format!("{instances}: claims a round"), claims, 1.2);
+    }
+    println!();
+    let fine = bounds.print();
+    println!(
+        "proof duties-simulated: up to {} instances, {worst} doubles, {}",
+        sizes.last().copied().unwrap_or(0),
+        if fine { "all within bounds" } else { "OUT OF BOUNDS" }
+    );
+    if fine { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
--- a/crates/settings/src/appliance.rs
+++ b/crates/settings/src/appliance.rs
@@ -1,6 +1,6 @@
 //! The appliance's file under `deploy/`: where it listens, its descriptions, lenders and plans, and Consul.
 
-use crate::ConfigError;
+use crate::{ConfigError, cluster};
 use dewproxy::interface as module;
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -29,6 +29,13 @@
     /// How destinations start.
     #[serde(default)]
     pub fleet: Fleet,
+    /// The instances that share periodic duties.
+    pub cluster: Option<cluster::Cluster>,
+    /// Active probing of the destinations.
+    pub probe: Option<cluster::Probe>,
+    /// Duties that are HTTP calls.
+    #[serde(rename = "duty", default)]
+    pub duties: Vec<cluster::Duty>,
     /// The classes of requests.
     #[serde(rename = "class")]
     pub classes: Vec<Class>,
@@ -245,6 +252,7 @@
     if file.consul.service.is_empty() || file.consul.wait_ms == 0 {
         return bad("consul: service must have a name, and wait_ms must be above 0".into());
     }
+    cluster::check(file.cluster.as_ref(), file.probe.as_ref(), &file.duties)?;
     file.settings(1.0)?;
     Ok(file)
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,6 +1,7 @@
 //! What config.json says, read once into the values that the program uses.
 
 pub mod appliance;
+pub mod cluster;
 
 use dewproxy::interface as module;
 use serde::Deserialize;
--- a/crates/snowfield/src/appliance.rs
+++ b/crates/snowfield/src/appliance.rs
@@ -1,6 +1,7 @@
 //! The appliance: the OpenAPI front, Consul and the console's status.
 
-use crate::signals;
+use crate::{duties, signals};
+use cluster::Cluster;
 use consul::{Health, Instance, Watch, Watched};
 use counter::CounterClient;
 use destination::{HttpDestination, Limits, Place, Pools};
@@ -10,10 +11,10 @@
 use link::{Door, LARGE_STACK, locked, spawn, spawn_with};
 use openapi::{Description, RouteTable};
 use settings::appliance::{self, Appliance};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::fmt::Write;
 use std::path::Path;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
 /// Descriptors kept for listeners, Consul, the counter, `may` and the standard streams.
@@ -69,20 +70,33 @@
     let Checked { file, table } = check(path)?;
     link::set_up();
     let longest = file.classes.iter().map(|c| c.deadline_ms).max().unwrap_or(0);
-    let (front, door) = start(file, table)?;
+    let folder = path.parent().unwrap_or(Path::new("."));
+    let shared = duties::settings(&file, folder)?;
+    let (front, door, cluster) = start(file, table, shared)?;
     signals::serve_until(
         caught,
         &door,
         Duration::from_millis(longest),
         // Routes, lenders and plans are part of the decisions in hand: they change with a restart, which loses nothing.
-        || println!("reload: SIGHUP changes nothing here; a restart takes the new file"),
-        || front.close(),
+        || match &cluster {
+            Some(cluster) => duties::reload(path, cluster),
+            None => println!("reload: SIGHUP changes nothing here; a restart takes the new file"),
+        },
+        || {
+            // First of all, so that the others take over while this instance finishes.
+            if let Some(cluster) = &cluster {
+                cluster.leave();
+            }
+            front.close();
+        },
         || front.open(),
     );
     Ok(())
 }
 
-fn start(file: Appliance, table: RouteTable) -> Result<(Arc<Front>, Arc<Door>), String> {
+type Started = (Arc<Front>, Arc<Door>, Option<Arc<Cluster>>);
+
+fn start(file: Appliance, table: RouteTable, shared: Option<duties::Shared>) -> Result<Started, String> {
     let largest = table.routes().iter().map(|r| r.units).fold(0.0, f64::max);
     let settings = file.settings(largest).map_err(|e| e.to_string())?;
     let clock = Clock::start();
@@ -103,7 +117,23 @@
 
     let (door, status_door) = (open(file.listen)?, file.status.map(open).transpose()?);
     let front = Front::new(exchange.clone(), setup(&file, table, sockets / 2));
-    let fleet = Arc::new(Fleet { clock, exchange, pools: pools.clone(), known: Mutex::default() });
+    let fleet = Arc::new(Fleet {
+        clock,
+        exchange,
+        pools: pools.clone(),
+        known: Mutex::default(),
+        cluster: OnceLock::new(),
+    });
+    let cluster = match shared {
+        Some((settings, calls)) => {
+            let told = fleet.clone();
+            let on_out = Box::new(move |out: &BTreeSet<String>| told.probed(out));
+            let cluster = Cluster::start(settings, calls, on_out).map_err(|e| format!("cluster: {e}"))?;
+            fleet.cluster.get_or_init(|| cluster.clone());
+            Some(cluster)
+        }
+        None => None,
+    };
     let watch = Watch::new(Watched {
         address: file.consul.address,
         service: file.consul.service.clone(),
@@ -130,7 +160,7 @@
     println!("serving OpenAPI on {}", door.address().map_err(|e| e.to_string())?);
     let (accepting, entrance) = (front.clone(), door.clone());
     spawn(move || accepting.run(&entrance));
-    Ok((front, door))
+    Ok((front, door, cluster))
 }
 
 fn open(at: std::net::SocketAddr) -> Result<Arc<Door>, String> {
@@ -165,6 +195,7 @@
     exchange: Arc<HttpExchange>,
     pools: Arc<Pools<HttpDestination>>,
     known: Mutex<Known>,
+    cluster: OnceLock<Arc<Cluster>>,
 }
 
 #[derive(Default)]
@@ -172,42 +203,76 @@
     numbers: HashMap<String, u32>,
     /// The list as it was told last, with the time from which each one counts as started.
     list: Vec<(Instance, u64)>,
+    /// The ids that get no new work by their probes.
+    out: BTreeSet<String>,
     told: bool,
 }
 
+impl Known {
+    fn is_ready(&self, instance: &Instance) -> bool {
+        instance.health == Health::Passing && !self.out.contains(&instance.id)
+    }
+}
+
 impl Fleet {
+    /// Consul's list has changed.
     fn listed(&self, instances: Vec<Instance>) {
+        let fleet = instances.iter().map(|i| (i.id.clone(), i.address)).collect();
+        {
+            let mut known = locked(&self.known);
+            let passing = instances.iter().filter(|i| i.health == Health::Passing).count();
+            println!("consul: {} instances, {passing} of them passing", instances.len());
+            self.tell(&mut known, instances, None);
+        }
+        if let Some(cluster) = self.cluster.get() {
+            cluster.set_fleet(fleet);
+        }
+    }
+
+    /// Probes say which destinations are to get no new work.
+    fn probed(&self, out: &BTreeSet<String>) {
         let mut known = locked(&self.known);
-        let known = &mut *known;
+        let instances = known.list.iter().map(|(i, _)| i.clone()).collect();
+        self.tell(&mut known, instances, Some(out));
+    }
+
+    /// Tells the destination side and the module the list as Consul and the probes together have it.
+    fn tell(&self, known: &mut Known, instances: Vec<Instance>, out: Option<&BTreeSet<String>>) {
         let now = self.clock.now();
+        let before: HashMap<String, (Instance, u64, bool)> = known
+            .list
+            .iter()
+            .map(|(i, started)| (i.id.clone(), (i.clone(), *started, known.is_ready(i))))
+            .collect();
+        if let Some(out) = out {
+            known.out.clone_from(out);
+        }
         let (mut entries, mut places, mut list) = (Vec::new(), Vec::new(), Vec::new());
         for instance in instances {
             let next = known.numbers.len() as u32 + 1;
             let id = *known.numbers.entry(instance.id.clone()).or_insert(next);
-            let before =
-                known.list.iter().find(|(i, _)| i.id == instance.id && i.address == instance.address);
+            let ready = known.is_ready(&instance);
             // Consul does not tell when an instance started. One that was there from the first list on has been
             // running; one that appears, or passes again, may be cold.
-            let started = match before {
-                Some((old, started))
-                    if old.health == Health::Passing || instance.health != Health::Passing =>
-                {
-                    *started
-                }
+            let started = match before.get(&instance.id).filter(|(old, ..)| old.address == instance.address) {
+                Some((_, started, was_ready)) if *was_ready || !ready => *started,
                 _ if known.told => now,
                 _ => 0,
             };
-            let state = if instance.health == Health::Passing { State::Ready } else { State::Draining };
+            let state = if ready { State::Ready } else { State::Draining };
             places.push(Place { id, address: instance.address, state, started });
             entries.push(BackendEntry { id, state, started, ..BackendEntry::default() });
             list.push((instance, started));
         }
-        known.told = true;
-        let passing = list.iter().filter(|(i, _)| i.health == Health::Passing).count();
-        println!("consul: {} instances, {passing} of them passing", list.len());
+        // Before Consul has told its first list there is nothing to tell.
+        if out.is_none() {
+            known.told = true;
+        }
         known.list = list;
-        self.pools.listed(ListKind::Full, &places);
-        self.exchange.listed(ListKind::Full, entries);
+        if known.told {
+            self.pools.listed(ListKind::Full, &places);
+            self.exchange.listed(ListKind::Full, entries);
+        }
     }
 
     fn report(&self) -> String {
@@ -222,15 +287,35 @@
         for (instance, _) in &known.list {
             let number = known.numbers.get(&instance.id);
             let steps = number.and_then(|n| status.destinations.get(n)).map_or(0, |d| d.1);
-            let health = if instance.health == Health::Passing { "passing" } else { "draining" };
+            let health = match (instance.health, known.is_ready(instance)) {
+                (Health::Passing, true) => "passing",
+                (Health::Passing, false) => "out by its probes",
+                (Health::Critical, _) => "draining",
+            };
             let _ =
                 writeln!(out, "  {}  {}  {health}  route steps out {steps}", instance.id, instance.address);
         }
         let _ = writeln!(out, "connections to destinations {}", self.pools.open());
+        drop(known);
+        if let Some(cluster) = self.cluster.get() {
+            out.push_str(&cluster_report(cluster));
+        }
         out
     }
 }
 
+/// The cluster's part of the status. Its threads are asked, and the worker does not wait for them.
+fn cluster_report(cluster: &Cluster) -> String {
+    let told = cluster.ask_report();
+    for _ in 0..100 {
+        if let Ok(report) = told.try_recv() {
+            return report;
+        }
+        link::sleep(Duration::from_millis(5));
+    }
+    "cluster\n  it does not answer\n".into()
+}
+
 /// Answers whoever connects with the status as text.
 fn show_status(door: &Door, front: &Arc<Front>, fleet: &Arc<Fleet>) {
     while let Some(link) = door.accept() {
--- /dev/null
+++ b/crates/snowfield/src/duties.rs
@@ -0,0 +1,117 @@
+//! The appliance's file as the settings of the cluster, and what a reload takes from it.
+
+use crate::appliance;
+use cluster::{Call, Cluster, Gossip, Probes, Settings, StoreAt};
+use membership::seal::Keys;
+use settings::appliance::Appliance;
+use settings::cluster::Duty;
+use std::path::Path;
+use std::time::Duration;
+
+/// Runs that may be under way at once.
+const RUNNERS: usize = 8;
+
+/// How an instance takes part, and the calls that are duties at first.
+pub type Shared = (Settings, Vec<Call>);
+
+/// What the file says of shared duties; `None` where it has none, and nothing is started.
+///
+/// # Errors
+///
+/// The key file cannot be read or used.
+pub fn settings(file: &Appliance, folder: &Path) -> Result<Option<Shared>, String> {
+    if file.cluster.is_none() && file.probe.is_none() && file.duties.is_empty() {
+        return Ok(None);
+    }
+    let probes = file.probe.as_ref().map(|probe| Probes {
+        path: probe.path.clone(),
+        timeout: Duration::from_millis(probe.timeout_ms),
+        rules: probe::Config {
+            period: probe.period_ms,
+            down_after: probe.down_after,
+            up_after: probe.up_after,
+            most_out: probe.most_out,
+        },
+    });
+    let settings = match &file.cluster {
+        Some(cluster) => Settings {
+            name: cluster.name.clone(),
+            gossip: Some(Gossip {
+                listen: cluster.listen,
+                advertise: cluster.advertise.unwrap_or(cluster.listen),
+                peers: cluster.peers.clone(),
+                keys: keys(file, folder)?,
+                period: cluster.gossip_ms,
+                suspect: cluster.suspect_ms,
+            }),
+            store: StoreAt::Consul {
+                address: cluster.store.unwrap_or(file.consul.address),
+                prefix: cluster.prefix.clone(),
+                timeout: Duration::from_millis(cluster.store_timeout_ms),
+            },
+            standbys: cluster.standbys,
+            skew: cluster.skew_ms,
+            clock_offset: cluster.clock_offset_ms,
+            runners: RUNNERS,
+            probes,
+        },
+        None => Settings {
+            name: "alone".into(),
+            gossip: None,
+            store: StoreAt::Local,
+            standbys: 0,
+            skew: 0,
+            clock_offset: 0,
+            runners: RUNNERS,
+            probes,
+        },
+    };
+    Ok(Some((settings, calls(&file.duties))))
+}
+
+/// The keys of the file's key file.
+///
+/// # Errors
+///
+/// It cannot be read or used; the text holds no key.
+pub fn keys(file: &Appliance, folder: &Path) -> Result<Keys, String> {
+    let Some(cluster) = &file.cluster else { return Err("cluster: there is no such table".into()) };
+    let path = folder.join(&cluster.key_file);
+    let text = std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
+    Keys::parse(&text).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+fn calls(duties: &[Duty]) -> Vec<Call> {
+    let call = |d: &Duty| Call {
+        name: d.name.clone(),
+        period: d.period_ms,
+        url: d.url.clone(),
+        timeout: Duration::from_millis(d.timeout_ms),
+    };
+    duties.iter().map(call).collect()
+}
+
+/// Takes the duties and the keys anew from the file; a file that cannot be used changes nothing.
+pub fn reload(path: &Path, cluster: &Cluster) {
+    let read = || -> Result<(usize, bool), String> {
+        let file = appliance::check(path)?.file;
+        let keys = match &file.cluster {
+            Some(_) => Some(keys(&file, path.parent().unwrap_or(Path::new(".")))?),
+            None => None,
+        };
+        let calls = calls(&file.duties);
+        let done = (calls.len(), keys.is_some());
+        cluster.set_calls(calls);
+        if let Some(keys) = keys {
+            cluster.set_keys(keys);
+        }
+        Ok(done)
+    };
+    match read() {
+        Ok((duties, true)) => {
+            println!("reload: {duties} duties and the cluster's keys taken; the rest needs a restart")
+        }
+        Ok((duties, false)) => println!("reload: {duties} duties taken; the rest needs a restart"),
+        Err(text) => println!("reload: {text}; the old settings stay"),
+    }
+}
--- a/crates/snowfield/src/main.rs
+++ b/crates/snowfield/src/main.rs
@@ -3,6 +3,7 @@
 mod appliance;
 mod clock;
 mod console;
+mod duties;
 mod hosts;
 mod platform;
 mod signals;
--- a/crates/snowfield/tests/appliance.rs
+++ b/crates/snowfield/tests/appliance.rs
@@ -4,101 +4,40 @@
 mod common;
 
 use common::*;
-use std::collections::HashMap;
-use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpStream};
-use std::sync::mpsc::{Receiver, Sender, channel};
-use std::sync::{Arc, Condvar, Mutex};
-
-/// A stand-in of Consul's health and catalogue API with blocking queries.
-#[derive(Clone)]
+use stand_in_consul::{Door, Fault, Service};
+use std::net::SocketAddr;
+use std::sync::mpsc::Receiver;
+
+/// The stand-in of Consul, with the instances of one service.
 struct Consul {
     address: SocketAddr,
-    state: Arc<(Mutex<ConsulState>, Condvar)>,
-}
-
-#[derive(Default)]
-struct ConsulState {
-    index: u64,
-    /// By id: where it listens and whether its checks pass.
-    instances: Vec<(String, SocketAddr, bool)>,
-    /// Answers with status 500 and ends open queries.
-    down: bool,
-    asked: Option<Sender<String>>,
+    shared: stand_in_consul::Consul,
+    door: Door,
 }
 
 impl Consul {
     /// Also tells the target of each query.
     fn start(instances: &[SocketAddr]) -> (Self, Receiver<String>) {
-        let (tell, asked) = channel();
-        let named = |(i, at): (usize, &SocketAddr)| (format!("loans-{i}"), *at, true);
-        let instances = instances.iter().enumerate().map(named).collect();
-        let state = ConsulState { index: 10, instances, down: false, asked: Some(tell) };
-        let state = Arc::new((Mutex::new(state), Condvar::new()));
-        let shared = state.clone();
-        let address = listen(move |stream| Self::serve(&shared, stream));
-        (Self { address, state }, asked)
-    }
-
-    fn serve(shared: &(Mutex<ConsulState>, Condvar), stream: TcpStream) {
-        let mut writes = stream.try_clone().expect("a second handle");
-        let Some(request) = message(&mut BufReader::new(stream)) else { return };
-        let (path, query) = request.target().split_once('?').unwrap_or((request.target(), ""));
-        let query: HashMap<&str, &str> = query.split('&').filter_map(|pair| pair.split_once('=')).collect();
-        let index: u64 = query.get("index").map_or(0, |i| i.parse().expect("a number"));
-        let mut state = shared.0.lock().expect("no stand-in panics");
-        if let Some(tell) = &state.asked {
-            let _ = tell.send(request.target().to_owned());
-        }
-        // A query with the present index waits for the next change.
-        state = shared.1.wait_while(state, |s| !s.down && index == s.index).expect("no stand-in panics");
-        if state.down {
-            let _ = writes.write_all(b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n");
-            return;
-        }
-        let health = path == "/v1/health/service/loan-server";
-        assert!(health || path == "/v1/catalog/service/loan-server", "{path}");
-        let passing = query.contains_key("passing");
-        let entries: Vec<String> = state
-            .instances
-            .iter()
-            .filter(|(_, _, passes)| *passes || !passing)
-            .map(|(id, at, _)| {
-                let (ip, port) = (at.ip(), at.port());
-                if health {
-                    format!(
-                        r#"{{"Node":{{"Node":"a","Address":"{ip}"}},"Service":{{"ID":"{id}","Service":"loan-server","Address":"","Port":{port}}},"Checks":[]}}"#
-                    )
-                } else {
-                    format!(
-                        r#"{{"Node":"a","Address":"{ip}","ServiceID":"{id}","ServiceAddress":"","ServicePort":{port}}}"#
-                    )
-                }
-            })
-            .collect();
-        let body = format!("[{}]", entries.join(","));
-        let head = format!(
-            "HTTP/1.1 200 OK\r\nX-Consul-Index: {}\r\nContent-Length: {}\r\n\r\n",
-            state.index,
-            body.len()
-        );
-        let _ = writes.write_all((head + &body).as_bytes());
-    }
-
-    fn change(&self, change: impl FnOnce(&mut ConsulState)) {
-        let mut state = self.state.0.lock().expect("no stand-in panics");
-        change(&mut state);
-        self.state.1.notify_all();
+        let shared = stand_in_consul::Consul::start();
+        let asked = shared.listen();
+        let named = |(i, at): (usize, &SocketAddr)| service(&format!("loans-{i}"), *at);
+        shared.set_service(10, "loan-server", instances.iter().enumerate().map(named).collect());
+        let door = shared.open();
+        (Self { address: door.address, shared, door }, asked)
     }
 
-    fn set(&self, index: u64, change: impl FnOnce(&mut Vec<(String, SocketAddr, bool)>)) {
-        self.change(|state| {
-            change(&mut state.instances);
-            state.index = index;
+    fn set(&self, index: u64, change: impl FnOnce(&mut Vec<Service>)) {
+        self.shared.change(|state| {
+            change(state.services.entry("loan-server".into()).or_default());
+            state.services_index = index;
         });
     }
 }
 
+fn service(id: &str, address: SocketAddr) -> Service {
+    Service { id: id.into(), address, passing: true }
+}
+
 const LOANS: &str = r##"{
   "openapi": "3.0.3", "info": {"title": "Loans", "version": "1"},
   "servers": [{"url": "https://api.example.com/v1/"}],
@@ -465,8 +404,8 @@
     assert_eq!(ask(), 200);
     asked(&old_seen);
     site.consul.set(11, |instances| {
-        instances[0].2 = false;
-        instances.push(("loans-new".into(), new, true));
+        instances[0].passing = false;
+        instances.push(service("loans-new", new));
     });
     // An idle connection is let go of once the change has been heard; the new one comes with it or just after.
     assert!(matches!(next(&old_seen), Seen::Ended));
@@ -494,20 +433,18 @@
     assert_eq!(
         first,
         [
-            "/v1/catalog/service/loan-server",
-            "/v1/catalog/service/loan-server?index=10&wait=30000ms",
-            "/v1/health/service/loan-server?passing=true",
-            "/v1/health/service/loan-server?passing=true&index=10&wait=30000ms",
+            "GET /v1/catalog/service/loan-server",
+            "GET /v1/catalog/service/loan-server?index=10&wait=30000ms",
+            "GET /v1/health/service/loan-server?passing=true",
+            "GET /v1/health/service/loan-server?passing=true&index=10&wait=30000ms",
         ]
     );
-    site.consul.change(|state| state.down = true);
+    site.consul.door.fail(Fault::Status(500));
     site.program.logged("the last list stays");
     assert_eq!(ask(), 200);
     // It is back from a snapshot: the index went backwards, and another instance took over.
-    site.consul.change(|state| {
-        (state.down, state.index) = (false, 5);
-        state.instances = vec![("loans-new".into(), new, true)];
-    });
+    site.consul.set(5, |instances| *instances = vec![service("loans-new", new)]);
+    site.consul.door.fail(Fault::None);
     site.program.logged("consul: 1 instances, 1 of them passing");
     while all_asked(&new_seen).is_empty() {
         assert_eq!(ask(), 200);
--- a/crates/snowfield/tests/oncall.rs
+++ b/crates/snowfield/tests/oncall.rs
@@ -14,6 +14,12 @@
     let page = std::fs::read_to_string(crates.join("../docs/ONCALL.md")).expect("the page");
     let mut lines = 0;
     for folder in crates.read_dir().expect("the crates").flatten() {
+        // Programs and stand-ins of their own, which write no log of the gatekeeper's.
+        let name = folder.file_name();
+        let apart = ["proofs", "simulated", "stand_in_"];
+        if apart.iter().any(|a| name.to_str().is_some_and(|n| n.starts_with(a))) {
+            continue;
+        }
         for file in folder.path().join("src").read_dir().expect("a crate's sources").flatten() {
             // What the console shows is no log.
             if file.file_name() == "console.rs" {
