--- /dev/null
+++ b/crates/consul/src/ask.rs
@@ -0,0 +1,186 @@
+//! One query of the health page.
+
+use crate::Watched;
+use catalogue::agents::Ask;
+use catalogue::answer::{self, Answer};
+use std::cell::RefCell;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// The most bytes of a body, unpacked.
+const LARGEST: u64 = 64 * 1024 * 1024;
+const CONNECT: Duration = Duration::from_secs(1);
+/// Beyond what a query may wait for: the way there and back, and an agent under load.
+const SLACK: Duration = Duration::from_secs(2);
+
+/// Where Consul is, and how it is asked.
+#[derive(Clone, Debug)]
+pub struct Source {
+    /// Its agents, in the order of preference.
+    pub agents: Vec<SocketAddr>,
+    /// The file that holds the ACL token; read anew for each query.
+    pub token_file: Option<PathBuf>,
+    /// Datacentre, namespace and partition, where not the agent's own.
+    pub datacenter: Option<String>,
+    /// See above.
+    pub namespace: Option<String>,
+    /// See above.
+    pub partition: Option<String>,
+    /// Answers may come from a server that has heard from the leader this lately, in milliseconds; `None` asks the
+    /// leader.
+    pub stale_ms: Option<u64>,
+    /// How long a blocking query may stay open.
+    pub wait: Duration,
+}
+
+/// Why there is no answer. No text holds a token.
+#[derive(Debug)]
+pub(crate) enum Problem {
+    /// It is too old, or there is no leader.
+    TooStale(String),
+    /// There is none that can be used.
+    Failed(String),
+}
+
+/// An answer and its index.
+pub(crate) struct Answered {
+    pub(crate) index: u64,
+    pub(crate) body: Answer,
+}
+
+/// Asks the agents of one source.
+pub(crate) struct Asker {
+    source: Source,
+    agent: ureq::Agent,
+    /// The last token that could be read, and whether the last try failed.
+    token: RefCell<(Option<String>, bool)>,
+}
+
+pub(crate) fn http(connections: usize) -> ureq::Agent {
+    ureq::Agent::config_builder()
+        .timeout_connect(Some(CONNECT))
+        .http_status_as_error(false)
+        .max_redirects(0)
+        // An environment variable must not send queries elsewhere.
+        .proxy(None)
+        .max_idle_connections(connections)
+        .max_idle_age(Duration::from_secs(60))
+        .user_agent("snowfield")
+        .build()
+        .into()
+}
+
+impl Source {
+    /// The token of the file, trimmed.
+    ///
+    /// # Errors
+    ///
+    /// The file cannot be read, or holds no token. The text holds none either.
+    pub fn token(&self) -> Result<Option<String>, String> {
+        let Some(path) = &self.token_file else { return Ok(None) };
+        let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+        let token = text.trim();
+        if token.is_empty() || token.len() > 256 || !token.bytes().all(|b| b.is_ascii_graphic()) {
+            return Err(format!("{}: it holds no token", path.display()));
+        }
+        Ok(Some(token.to_owned()))
+    }
+}
+
+impl Asker {
+    pub(crate) fn new(source: &Source) -> Self {
+        Self { source: source.clone(), agent: http(1), token: RefCell::new((None, false)) }
+    }
+
+    /// The present token. A file that cannot be read leaves the last one in use.
+    pub(crate) fn token(&self) -> Option<String> {
+        let mut held = self.token.borrow_mut();
+        match self.source.token() {
+            Ok(token) => *held = (token, false),
+            Err(why) if !held.1 => {
+                println!("consul: the token file cannot be used ({why}); the last token stays");
+                held.1 = true;
+            }
+            Err(_) => {}
+        }
+        held.0.clone()
+    }
+
+    /// Asks for the health of a service.
+    pub(crate) fn health(&self, watched: &Watched, ask: &Ask) -> Result<Answered, Problem> {
+        let failed = |why: String| Problem::Failed(why);
+        let address = self.source.agents[ask.agent];
+        let url = format!("http://{address}{}", target(&self.source, watched, ask));
+        let wait = if ask.index > 0 { self.source.wait + self.source.wait / 16 } else { Duration::ZERO };
+        let mut request = self.agent.get(&url).config().timeout_global(Some(wait + SLACK)).build();
+        if let Some(token) = self.token() {
+            request = request.header("X-Consul-Token", token);
+        }
+        let mut answer = request.call().map_err(|e| failed(e.to_string()))?;
+        if answer.status() != 200 {
+            return Err(failed(format!("status {}", answer.status().as_u16())));
+        }
+        let field = |name: &str| {
+            answer.headers().get(name).and_then(|v| v.to_str().ok()).unwrap_or_default().to_owned()
+        };
+        let index = field("x-consul-index").trim().parse().unwrap_or(0);
+        if field("x-consul-knownleader").eq_ignore_ascii_case("false") {
+            return Err(Problem::TooStale("the servers have no leader".into()));
+        }
+        let contact: u64 = field("x-consul-lastcontact").trim().parse().unwrap_or(0);
+        if ask.stale && self.source.stale_ms.is_some_and(|most| contact > most) {
+            return Err(Problem::TooStale(format!("the server heard from its leader {contact} ms ago")));
+        }
+        let bytes = answer.body_mut().with_config().limit(LARGEST).read_to_vec();
+        let bytes = bytes.map_err(|e| failed(e.to_string()))?;
+        let body = answer::read(&bytes).map_err(failed)?;
+        Ok(Answered { index, body })
+    }
+}
+
+/// Path and query of a query.
+fn target(source: &Source, watched: &Watched, ask: &Ask) -> String {
+    let mut target = format!("/v1/health/service/{}", escaped(&watched.service));
+    let mut first = true;
+    let mut put = |name: &str, value: &str| {
+        let _ = write!(target, "{}{name}", if std::mem::take(&mut first) { '?' } else { '&' });
+        if !value.is_empty() {
+            let _ = write!(target, "={}", escaped(value));
+        }
+    };
+    let named = [
+        ("dc", &source.datacenter),
+        ("ns", &source.namespace),
+        ("partition", &source.partition),
+        ("tag", &watched.tag),
+        ("filter", &watched.filter),
+    ];
+    for (name, value) in named {
+        if let Some(value) = value {
+            put(name, value);
+        }
+    }
+    if ask.stale {
+        put("stale", "");
+    }
+    if ask.index > 0 {
+        put("index", &ask.index.to_string());
+        put("wait", &format!("{}ms", source.wait.as_millis()));
+    }
+    target
+}
+
+/// Percent-encodes what may not stand in a path segment or a query's value.
+pub(crate) fn escaped(text: &str) -> String {
+    let mut out = String::with_capacity(text.len());
+    for byte in text.bytes() {
+        if byte.is_ascii_alphanumeric() || b"-._~".contains(&byte) {
+            out.push(char::from(byte));
+        } else {
+            let _ = write!(out, "%{byte:02X}");
+        }
+    }
+    out
+}
--- a/crates/consul/src/lib.rs
+++ b/crates/consul/src/lib.rs
@@ -1,287 +1,312 @@
-//! Destinations from Consul's health and catalogue API, by blocking queries.
+//! Asks Consul: a thread for each service that is watched, one for this program's own registration. What the answers mean
+//! is decided in the crate `catalogue`; here are the calls, the token, the file and the log.
 //!
-//! Two queries are kept open. `/v1/health/service/NAME?passing` says which instances take work;
-//! `/v1/catalog/service/NAME` says which are registered. An instance that is registered and not passing drains; one that
-//! is in neither is gone. An outage of Consul keeps the last list.
+//! Nothing here runs on the program's `may` worker. Connections are kept alive between queries (`ureq`), and compressed
+//! bodies are taken.
 
-mod answers;
+mod ask;
+mod file;
+mod register;
 
-use answers::{CatalogEntry, HealthEntry};
-use http::Framing;
-use link::{Incoming, Link, locked};
-use serde::de::DeserializeOwned;
-use std::collections::BTreeMap;
-use std::fmt::{self, Write};
-use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+pub use ask::Source;
+pub use file::ListFile;
+pub use register::{Registered, register};
+
+use ask::Asker;
+use catalogue::agents::{Agents, Rules, Told};
+use catalogue::list::Note;
+use catalogue::{Catalogue, Guards, Instance, Reason, View};
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread;
 use std::time::{Duration, Instant};
 
-/// The most bytes of one answer.
-const LARGEST_ANSWER: usize = 8 * 1024 * 1024;
-const CONNECT: Duration = Duration::from_millis(1_000);
-/// Between two queries at the least, so that a list that changes all the time does not keep both sides busy.
-const SPACE: Duration = Duration::from_millis(20);
-/// After a failed query; grows to the second while failures go on.
-const PAUSES: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(5));
+/// Milliseconds between two queries at the least, also when the list changes all the time.
+const SPACE: u64 = 50;
+/// Milliseconds after a failed query; doubles up to the second.
+const PAUSES: (u64, u64) = (250, 5_000);
+/// Milliseconds after which the first agent is tried again.
+const BACK_AFTER: u64 = 15_000;
+/// Lines about single instances that one change may write.
+const MOST_LINES: usize = 8;
 
-/// Which service is watched, and where.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// One service to be watched.
+#[derive(Clone, Debug)]
 pub struct Watched {
-    /// Consul's HTTP API.
-    pub address: SocketAddr,
-    /// The service's name.
+    /// Its name.
     pub service: String,
     /// Only instances with this tag.
     pub tag: Option<String>,
-    /// How long a blocking query may stay open.
-    pub wait: Duration,
+    /// Consul's filter expression.
+    pub filter: Option<String>,
+    /// How sudden changes are met.
+    pub guards: Guards,
+    /// Its instances get numbers after this.
+    pub first_number: u32,
 }
 
-/// Where an instance stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Health {
-    /// All its checks pass.
-    Passing,
-    /// It is registered, but some check does not pass.
-    Critical,
+/// When clients last had an answer, by number. Shared with the destination side.
+#[derive(Debug)]
+pub struct Answered {
+    start: Instant,
+    at: Mutex<HashMap<u32, u64>>,
 }
 
-/// One instance of the service.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Instance {
-    /// Its node's name and its service id: unique within a data centre.
-    pub id: String,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Where it stands.
-    pub health: Health,
+impl Default for Answered {
+    fn default() -> Self {
+        Self { start: Instant::now(), at: Mutex::default() }
+    }
 }
 
-/// Why a query brought no list.
-#[derive(Clone, Debug, PartialEq, Eq)]
-struct QueryError(String);
+impl Answered {
+    /// A client got an answer from this destination.
+    pub fn note(&self, number: u32) {
+        let now = self.now();
+        held(&self.at).insert(number, now);
+    }
 
-impl fmt::Display for QueryError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
+    fn now(&self) -> u64 {
+        self.start.elapsed().as_millis() as u64
     }
+
+    fn get(&self, number: u32) -> Option<u64> {
+        held(&self.at).get(&number).copied()
+    }
+}
+
+/// Locks; each change under these locks is whole by itself, so a panic elsewhere has left nothing half-changed.
+fn held<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
 }
 
+/// Called with every view that differs from the one before.
+pub type OnView = Box<dyn Fn(&View) + Send + Sync>;
+/// Tells whether any work is out at a number.
+pub type HasSteps = Box<dyn Fn(u32) -> bool + Send + Sync>;
+
 /// The watch on one service.
 pub struct Watch {
     watched: Watched,
-    seen: Mutex<Seen>,
-    open: [Mutex<Option<Open>>; 2],
+    source: Source,
+    answered: Arc<Answered>,
+    file: Option<Arc<ListFile>>,
+    state: Mutex<State>,
+    on_view: OnView,
+    has_steps: HasSteps,
 }
 
-/// What the two queries brought last; `None` before the first answer.
-#[derive(Default)]
-struct Seen {
-    passing: Option<BTreeMap<String, SocketAddr>>,
-    registered: Option<BTreeMap<String, SocketAddr>>,
-    told: Option<Vec<Instance>>,
-}
-
-/// A query that is under way, and since when.
-type Open = (Arc<Link>, Instant);
-
-#[derive(Clone, Copy)]
-enum Query {
-    Health,
-    Catalog,
+struct State {
+    catalogue: Catalogue,
+    view: View,
+    left_out: Vec<(String, String)>,
+    /// Where the list comes from, for the console.
+    origin: String,
+    heard: Option<Instant>,
 }
 
 impl Watch {
-    /// A watch that is not running yet.
-    pub fn new(watched: Watched) -> Arc<Self> {
-        Arc::new(Self { watched, seen: Mutex::default(), open: Default::default() })
-    }
-
-    /// Watches which instances pass, for ever. Runs in a coroutine with a large stack, since it parses JSON. `told`
-    /// gets every list that differs from the one before.
-    pub fn run_health(&self, told: &dyn Fn(Vec<Instance>)) {
-        self.run(Query::Health, told, |watch, entries: Vec<HealthEntry>| {
-            locked(&watch.seen).passing = Some(entries.iter().filter_map(HealthEntry::instance).collect());
-        });
+    /// A watch that knows nothing yet, or what the file holds. Its view is told at once where there is one.
+    pub fn new(
+        source: Source,
+        watched: Watched,
+        answered: Arc<Answered>,
+        file: Option<Arc<ListFile>>,
+        on_view: OnView,
+        has_steps: HasSteps,
+    ) -> Arc<Self> {
+        let catalogue = Catalogue::new(watched.guards.clone(), watched.first_number);
+        let state = State {
+            catalogue,
+            view: View::default(),
+            left_out: Vec::new(),
+            origin: "no list yet".into(),
+            heard: None,
+        };
+        let watch = Self { watched, source, answered, file, state: Mutex::new(state), on_view, has_steps };
+        if let Some((instances, age)) = watch.file.as_ref().and_then(|f| f.of(&watch.watched.service)) {
+            println!(
+                "consul: {}: the list on disk serves until Consul answers: {} instances, {age} s old",
+                watch.watched.service,
+                instances.len()
+            );
+            let mut state = held(&watch.state);
+            state.origin = format!("the list on disk, {age} s old at the start");
+            let mut notes = Vec::new();
+            let view = state.catalogue.remembered(watch.answered.now(), instances, &mut notes);
+            watch.tell(&mut state, view, &notes);
+        }
+        Arc::new(watch)
     }
 
-    /// Watches which instances are registered, for ever; as [`Watch::run_health`].
-    pub fn run_catalog(&self, told: &dyn Fn(Vec<Instance>)) {
-        self.run(Query::Catalog, told, |watch, entries: Vec<CatalogEntry>| {
-            locked(&watch.seen).registered =
-                Some(entries.iter().filter_map(CatalogEntry::instance).collect());
-        });
+    /// Asks for ever, on a thread of its own.
+    ///
+    /// # Errors
+    ///
+    /// There is no thread to be had.
+    pub fn start(self: &Arc<Self>) -> std::io::Result<()> {
+        let watch = self.clone();
+        thread::Builder::new().name("consul".into()).spawn(move || watch.run()).map(|_| ())
     }
 
-    /// Closes queries that have outlived their wait: a link that was cut says nothing. Call it now and then.
-    pub fn sweep(&self) {
-        // Consul adds up to a sixteenth of the wait.
-        let longest = self.watched.wait + self.watched.wait / 16 + Duration::from_secs(5);
-        for open in &self.open {
-            if let Some((link, since)) = &*locked(open)
-                && since.elapsed() > longest
-            {
-                link.close();
-            }
-        }
-    }
-
-    fn run<E: DeserializeOwned>(&self, query: Query, told: &dyn Fn(Vec<Instance>), take: fn(&Self, Vec<E>)) {
-        let (mut index, mut pause) = (0, PAUSES.0);
-        let name = query.name();
+    fn run(&self) {
+        let rules = Rules {
+            agents: self.source.agents.len(),
+            space: SPACE,
+            pause: PAUSES,
+            back_after: BACK_AFTER,
+            stale: self.source.stale_ms.is_some(),
+        };
+        let mut agents = Agents::new(rules, rand::random());
+        let asker = Asker::new(&self.source);
+        let service = &self.watched.service;
+        let (mut asked, mut failing) = (0, false);
         loop {
-            match self.ask::<E>(query, index) {
-                Ok((entries, next)) => {
-                    if pause > PAUSES.0 {
-                        println!("consul: {name} answers again");
-                    }
-                    pause = PAUSES.0;
-                    // The specification asks for a fresh start where the index went backwards or is not above 0.
-                    index = if next < index || next == 0 { 0 } else { next };
-                    take(self, entries);
-                    if let Some(list) = self.news() {
-                        told(list);
+            let now = self.answered.now();
+            let ask = agents.next(now);
+            if ask.agent != asked {
+                println!("consul: {service}: asking agent {} now", self.source.agents[ask.agent]);
+                asked = ask.agent;
+            }
+            thread::sleep(Duration::from_millis(ask.at.saturating_sub(now)));
+            let answer = asker.health(&self.watched, &ask);
+            let now = self.answered.now();
+            match answer {
+                Ok(answer) => {
+                    let news = agents.told(now, ask.agent, &Told::List(answer.index));
+                    if std::mem::take(&mut failing) {
+                        println!("consul: {service}: agent {} answers again", self.source.agents[ask.agent]);
                     }
-                    link::sleep(SPACE);
+                    self.heard(ask.agent, news.then_some(answer.body));
+                }
+                Err(ask::Problem::TooStale(why)) => {
+                    agents.told(now, ask.agent, &Told::TooStale);
+                    println!("consul: {service}: no news ({why}); the last list stays");
                 }
-                Err(error) => {
-                    if pause == PAUSES.0 {
-                        println!("consul: {name} failed ({error}); the last list stays");
+                Err(ask::Problem::Failed(why)) => {
+                    agents.told(now, ask.agent, &Told::Failed);
+                    if agents.failures(ask.agent) == 1 {
+                        let agent = self.source.agents[ask.agent];
+                        println!(
+                            "consul: {service}: agent {agent} does not answer ({why}); the last list stays"
+                        );
                     }
-                    link::sleep(pause);
-                    pause = (pause * 2).min(PAUSES.1);
-                    // What was missed meanwhile comes with the next answer, at once.
-                    index = 0;
+                    failing = true;
                 }
             }
         }
     }
 
-    /// The list that the two answers make together, where it differs from the last. Before both have come there is
-    /// none: half the truth could drain instances for nothing.
-    fn news(&self) -> Option<Vec<Instance>> {
-        let mut seen = locked(&self.seen);
-        let (passing, registered) = (seen.passing.as_ref()?, seen.registered.as_ref()?);
-        let mut list: BTreeMap<&String, (SocketAddr, Health)> =
-            registered.iter().map(|(id, &at)| (id, (at, Health::Critical))).collect();
-        list.extend(passing.iter().map(|(id, &at)| (id, (at, Health::Passing))));
-        let list: Vec<Instance> = list
-            .into_iter()
-            .map(|(id, (address, health))| Instance { id: id.clone(), address, health })
-            .collect();
-        if seen.told.as_ref() == Some(&list) {
-            return None;
-        }
-        seen.told = Some(list.clone());
-        Some(list)
-    }
-
-    fn target(&self, query: Query, index: u64) -> String {
-        let service = escaped(&self.watched.service);
-        let mut target = match query {
-            Query::Health => format!("/v1/health/service/{service}?passing=true"),
-            Query::Catalog => format!("/v1/catalog/service/{service}?"),
-        };
-        if let Some(tag) = &self.watched.tag {
-            let _ = write!(target, "&tag={}", escaped(tag));
+    /// An agent has answered; with a body where that is news.
+    fn heard(&self, agent: usize, body: Option<catalogue::answer::Answer>) {
+        let mut state = held(&self.state);
+        state.heard = Some(Instant::now());
+        state.origin = format!("agent {}", self.source.agents[agent]);
+        if let Some(answer) = body {
+            if answer.left_out != state.left_out {
+                for (id, why) in answer.left_out.iter().take(MOST_LINES) {
+                    println!("consul: {}: {id} left out: {why}", self.watched.service);
+                }
+                state.left_out = answer.left_out;
+            }
+            let (mut notes, answered) = (Vec::new(), &self.answered);
+            let now = answered.now();
+            let view = state.catalogue.listed(now, answer.instances, &|n| answered.get(n), &mut notes);
+            self.tell(&mut state, view, &notes);
         }
-        if index > 0 {
-            let _ = write!(target, "&index={index}&wait={}ms", self.watched.wait.as_millis());
+        if let Some(file) = &self.file {
+            let works = |e: &&catalogue::Entry| e.takes_work;
+            let instances: Vec<Instance> =
+                state.view.entries.iter().filter(works).map(|e| e.instance.clone()).collect();
+            drop(state);
+            file.keep(&self.watched.service, instances);
         }
-        target.replace("?&", "?").trim_end_matches('?').to_owned()
     }
 
-    /// One query on a connection of its own; brings the entries and the new index.
-    fn ask<E: DeserializeOwned>(&self, query: Query, index: u64) -> Result<(Vec<E>, u64), QueryError> {
-        let failed = |e: &dyn fmt::Display| QueryError(e.to_string());
-        let link = Link::connect(self.watched.address, CONNECT).map_err(|e| failed(&e))?;
-        let (link, place) = (Arc::new(link), &self.open[query as usize]);
-        *locked(place) = Some((link.clone(), Instant::now()));
-        let request = format!(
-            "GET {} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\nConnection: close\r\n\r\n",
-            self.target(query, index),
-            self.watched.address
-        );
-        link.send(request.as_bytes()).map_err(|e| failed(&e))?;
-        let answer = receive(&link);
-        locked(place).take();
-        link.close();
-        let (mut body, index) = answer?;
-        let entries = simd_json::serde::from_slice(&mut body).map_err(|e| failed(&e))?;
-        Ok((entries, index))
+    /// Time has passed: call it twice a second or so.
+    pub fn tick(&self) {
+        let mut state = held(&self.state);
+        let now = self.answered.now();
+        let mut notes = Vec::new();
+        let view = state.catalogue.tick(now, &*self.has_steps, &mut notes);
+        self.tell(&mut state, view, &notes);
     }
-}
 
-impl Query {
-    fn name(self) -> &'static str {
-        match self {
-            Self::Health => "the health query",
-            Self::Catalog => "the catalogue query",
+    /// Tells what has changed. The lock is held meanwhile, so that views are told in order.
+    fn tell(&self, state: &mut State, view: View, notes: &[Note]) {
+        // The list first: who reads the log may go by it.
+        if view != state.view {
+            state.view = view;
+            (self.on_view)(&state.view);
+            let here: std::collections::HashSet<u32> = state.view.entries.iter().map(|e| e.number).collect();
+            let own = |n: u32| n > self.watched.first_number && n - self.watched.first_number <= NUMBERS;
+            held(&self.answered.at).retain(|n, _| !own(*n) || here.contains(n));
         }
-    }
-}
-
-/// Reads an answer and brings its body and its `X-Consul-Index`.
-fn receive(link: &Link) -> Result<(Vec<u8>, u64), QueryError> {
-    let failed = |e: &dyn fmt::Display| QueryError(e.to_string());
-    let mut raw = Vec::new();
-    let (mut head, mut body, mut chunks) = (None, Vec::new(), http::Chunks::default());
-    loop {
-        let end = match link.receive(&mut raw, 16 * 1024).map_err(|e| failed(&e))? {
-            Incoming::Bytes(_) => false,
-            Incoming::End => true,
-            Incoming::Woken => continue,
-        };
-        if head.is_none() {
-            let Some((told, from)) = http::final_head(&raw, false).map_err(|e| failed(&e))? else {
-                if end {
-                    return Err(QueryError("it closed without an answer".into()));
+        let service = &self.watched.service;
+        let (mut lines, mut more) = (0, 0);
+        for note in notes {
+            match note {
+                Note::List(all, working) => {
+                    println!("consul: {service}: {all} instances, {working} of them take work");
+                }
+                Note::Turned(..) if lines == MOST_LINES => more += 1,
+                Note::Turned(id, true, _) => {
+                    lines += 1;
+                    println!("consul: {service}: {id} takes work");
+                }
+                Note::Turned(id, false, reason) => {
+                    lines += 1;
+                    println!("consul: {service}: {id} takes no work: {}", self.why(*reason));
+                }
+                Note::Sudden { vanished, of, kept } => {
+                    let span = self.watched.guards.sudden_hold / 1000;
+                    println!(
+                        "consul: {service}: {vanished} of {of} vanished in one answer; {kept} that answer are kept {span} s"
+                    );
+                }
+                Note::Believed(count) => {
+                    println!("consul: {service}: the loss of {count} instances is believed now");
                 }
-                continue;
-            };
-            if told.status != 200 {
-                return Err(QueryError(format!("status {}", told.status)));
-            }
-            let index = http::values(&raw[from..], &told.fields, "x-consul-index").next();
-            let index = index.and_then(|v| std::str::from_utf8(v).ok()).and_then(|v| v.trim().parse().ok());
-            raw.drain(..from + told.end);
-            head = Some((told.framing, index.unwrap_or(0)));
-        }
-        let Some((framing, index)) = head else { continue };
-        let whole = match framing {
-            Framing::Chunked => {
-                let used = chunks.decode(&raw, 0, &mut body).map_err(|e| failed(&e))?;
-                raw.drain(..used);
-                chunks.is_done()
-            }
-            Framing::Length(length) => {
-                body.append(&mut raw);
-                body.len() as u64 >= length
-            }
-            Framing::UntilEnd => {
-                body.append(&mut raw);
-                end
             }
-            Framing::Empty => true,
-        };
-        if whole {
-            return Ok((body, index));
         }
-        if end || body.len() > LARGEST_ANSWER {
-            return Err(QueryError("the answer is cut short or too large".into()));
+        if more > 0 {
+            println!("consul: {service}: and {more} more changes");
         }
     }
-}
 
-/// Percent-encodes what may not stand in a path segment or a query's value.
-fn escaped(text: &str) -> String {
-    let mut out = String::with_capacity(text.len());
-    for byte in text.bytes() {
-        if byte.is_ascii_alphanumeric() || b"-._~".contains(&byte) {
-            out.push(char::from(byte));
-        } else {
-            let _ = write!(out, "%{byte:02X}");
+    fn why(&self, reason: Reason) -> String {
+        let left = |until: u64| until.saturating_sub(self.answered.now()).div_ceil(1000);
+        match reason {
+            Reason::Listed => "it is listed".into(),
+            Reason::Unwell(health) => format!("it is {}", health.name()),
+            Reason::Flapping(until) => format!("it comes and goes, and is held for {} s", left(until)),
+            Reason::SharesAddress => "another instance has its address".into(),
+            Reason::NoWeight => "its weight is 0".into(),
+            Reason::Kept(until) => format!("it vanished with many, and is kept for {} s", left(until)),
+            Reason::Gone => "it is no longer listed".into(),
         }
     }
-    out
+
+    /// The service's name.
+    pub fn service(&self) -> &str {
+        &self.watched.service
+    }
+
+    /// For each instance its id and number, a word on where it stands, and whether it takes work; and where the list
+    /// comes from with its age.
+    pub fn shown(&self) -> (Vec<(String, u32, String, bool)>, String) {
+        let state = held(&self.state);
+        let entry = |e: &catalogue::Entry| {
+            let word = match e.reason {
+                Reason::Listed => e.instance.health.name().to_owned(),
+                other => self.why(other),
+            };
+            (e.instance.id.clone(), e.number, word, e.takes_work)
+        };
+        let age =
+            state.heard.map_or(String::new(), |at| format!(", last answer {} s ago", at.elapsed().as_secs()));
+        (state.view.entries.iter().map(entry).collect(), format!("{}{age}", state.origin))
+    }
 }
+
+/// Numbers that each service has to itself.
+pub const NUMBERS: u32 = 1 << 26;
--- a/crates/destination/src/http.rs
+++ b/crates/destination/src/http.rs
@@ -8,8 +8,11 @@
 
 /// Speaks HTTP/1.1 with destinations. An answer with a status of 500 or above is a failure of its destination: it may
 /// have run, and a class that is safe to repeat is tried elsewhere.
-#[derive(Debug, Default)]
-pub struct HttpDestination;
+#[derive(Default)]
+pub struct HttpDestination {
+    /// Told of each destination that has answered well.
+    pub on_served: Option<Box<dyn Fn(u32) + Send + Sync>>,
+}
 
 impl Protocol for HttpDestination {
     type Query = Request;
@@ -19,6 +22,12 @@
         query.put(out);
     }
 
+    fn served(&self, destination: u32) {
+        if let Some(told) = &self.on_served {
+            told(destination);
+        }
+    }
+
     fn read(&self, query: &Request, buffer: &[u8], end: bool) -> Reading<Answer> {
         match ::http::answer(buffer, query.is_head, end) {
             Ok(Some((answer, used, keep))) => {
--- a/crates/destination/src/lib.rs
+++ b/crates/destination/src/lib.rs
@@ -52,6 +52,8 @@
     type Answer: Send + 'static;
     /// Appends the request of a route step whose answer is waited for so long.
     fn write(&self, query: &Self::Query, to: SocketAddr, time_left: Micros, out: &mut Vec<u8>);
+    /// A destination has answered well. What has no use for that does nothing.
+    fn served(&self, _destination: u32) {}
     /// Looks for an answer at the start of the buffer; `end` tells that no more bytes will come.
     fn read(&self, query: &Self::Query, buffer: &[u8], end: bool) -> Reading<Self::Answer>;
 }
@@ -295,6 +297,9 @@
                     } else {
                         connection.link.close();
                     }
+                    if step_end.outcome == Outcome::Ok {
+                        self.protocol.served(destination);
+                    }
                     self.exchange().step_ended(id, step_end);
                 }
                 Reading::More if !end && buffer.len() <= self.limits.answer => {}
--- a/crates/exchange/src/core.rs
+++ b/crates/exchange/src/core.rs
@@ -33,6 +33,8 @@
     deadline: Micros,
     units: f64,
     account: Option<u32>,
+    /// The service of its class.
+    service: u16,
     steps: Vec<Step>,
     last: Option<Outcome>,
 }
@@ -65,6 +67,9 @@
     max_attempts: usize,
     counter_wait: Micros,
     tick: Micros,
+    /// The service of each class, and of each destination that is known.
+    services: Vec<u16>,
+    places: HashMap<u32, u16>,
     operations: HashMap<OperationId, Entry<Q, A>>,
     next_operation: OperationId,
     calls: HashMap<u64, (u64, Micros)>,
@@ -84,7 +89,10 @@
     pub(crate) fn new(settings: Settings, seed: u64, now: Micros) -> Result<Self, SettingsError> {
         let (max_attempts, counter_wait, tick) =
             (settings.max_attempts as usize, settings.counter_wait, settings.tick);
+        let services = settings.classes.iter().map(|c| c.service).collect();
         Ok(Self {
+            services,
+            places: HashMap::new(),
             gateway: Gateway::new(settings, seed, now)?,
             max_attempts,
             counter_wait,
@@ -113,7 +121,8 @@
             operation;
         let deadline = now.saturating_add(time_left);
         let (query, reply, steps) = (Arc::new(query), Some(reply), Vec::new());
-        let entry = Entry { query, reply, deadline, units, account, steps, last: None };
+        let service = self.services.get(usize::from(class)).copied().unwrap_or(0);
+        let entry = Entry { query, reply, deadline, units, account, service, steps, last: None };
         self.operations.insert(id, entry);
         self.timers.set(deadline, Due::Deadline(id));
         self.feed(now, Event::Request { id, class, plan, customer, time_left, set_size, units, repeat });
@@ -265,7 +274,7 @@
             return Why::Deadline;
         }
         match entry.last {
-            None if self.status.destinations.values().all(|d| d.0 != State::Ready) => Why::NoDestination,
+            None if !self.serves(entry.service) => Why::NoDestination,
             None | Some(Outcome::Full | Outcome::Moot) => Why::NoRoom,
             Some(Outcome::ConnectFailed) => Why::NoDestination,
             Some(Outcome::Timeout) => Why::Deadline,
@@ -326,6 +335,12 @@
         }
     }
 
+    /// Whether some destination of a service takes work.
+    fn serves(&self, service: u16) -> bool {
+        let here = |id: &u32| self.places.get(id) == Some(&service);
+        self.status.destinations.iter().any(|(id, d)| d.0 == State::Ready && here(id))
+    }
+
     /// Keeps what the console shows of the destinations.
     pub(crate) fn note_list(&mut self, kind: ListKind, entries: &[BackendEntry]) {
         if matches!(kind, ListKind::Cached | ListKind::Full) {
@@ -333,8 +348,11 @@
         }
         for entry in entries {
             self.status.destinations.entry(entry.id).or_insert((entry.state, 0)).0 = entry.state;
+            self.places.insert(entry.id, entry.service);
         }
         self.status.destinations.retain(|_, d| d.0 != State::Gone || d.1 > 0);
+        let known = &self.status.destinations;
+        self.places.retain(|id, _| known.contains_key(id));
     }
 
     pub(crate) fn unanswered(&self) -> usize {
--- a/crates/openapi/src/lib.rs
+++ b/crates/openapi/src/lib.rs
@@ -1,12 +1,13 @@
 //! OpenAPI descriptions read into a table of routes, each with its units and its class.
 //!
-//! Three extensions state what OpenAPI cannot:
+//! Four extensions state what OpenAPI cannot:
 //!
 //! | extension | where | value |
 //! | --- | --- | --- |
 //! | `x-snowfield-units` | an operation | the units that it takes from its lender's quota, above 0 |
 //! | `x-snowfield-class` | an operation | the name of its class of requests |
-//! | `x-snowfield-default` | the description or a path | an object with `units`, `class` or both, for operations that state none |
+//! | `x-snowfield-service` | an operation | the name of the service that serves it, if not the file's own |
+//! | `x-snowfield-default` | the description or a path | an object with any of `units`, `class` and `service`, for operations that state none |
 //!
 //! The nearest statement counts: the operation's own, then its path's default, then the description's. An operation for
 //! which none states the units, or none the class, is refused by name, as is any other `x-snowfield-` extension. What
@@ -56,6 +57,8 @@
     pub units: f64,
     /// The name of its class.
     pub class: String,
+    /// The name of the service that serves it; `None` where nothing states one.
+    pub service: Option<String>,
     /// The description that it comes from.
     pub source: String,
 }
@@ -99,6 +102,7 @@
 struct Stated {
     units: Option<f64>,
     class: Option<String>,
+    service: Option<String>,
 }
 
 impl RouteTable {
@@ -191,15 +195,19 @@
             if !matches!(operation, Node::Map(_)) || operation.get("$ref").is_some() {
                 return Err(format!("{called} is no operation object"));
             }
-            refuse_unknown(operation, &called, &["units", "class"])?;
+            refuse_unknown(operation, &called, &["units", "class", "service"])?;
             let units = match operation.get("x-snowfield-units") {
                 Some(node) => Some(units_of(node, &called)?),
                 None => own.units.or(defaults.units),
             };
             let class = match operation.get("x-snowfield-class") {
-                Some(node) => Some(class_of(node, &called)?),
+                Some(node) => Some(name_of(node, "class", &called)?),
                 None => own.class.clone().or_else(|| defaults.class.clone()),
             };
+            let service = match operation.get("x-snowfield-service") {
+                Some(node) => Some(name_of(node, "service", &called)?),
+                None => own.service.clone().or_else(|| defaults.service.clone()),
+            };
             let units = units.ok_or_else(|| {
                 format!("{called} states no units (x-snowfield-units), and no x-snowfield-default covers it")
             })?;
@@ -214,6 +222,7 @@
                     name: name.map(str::to_owned),
                     units,
                     class: class.clone(),
+                    service: service.clone(),
                     source: source.to_owned(),
                 };
                 self.add_route(route)?;
@@ -304,7 +313,9 @@
 fn stated_default(node: &Node, place: &str) -> Result<Stated, String> {
     let Some(default) = node.get("x-snowfield-default") else { return Ok(Stated::default()) };
     let place = format!("x-snowfield-default of {place}");
-    if let Some((key, _)) = default.entries().iter().find(|(k, _)| k != "units" && k != "class") {
+    if let Some((key, _)) =
+        default.entries().iter().find(|(k, _)| !["units", "class", "service"].contains(&k.as_str()))
+    {
         return Err(format!("{place} has {key:?}, which means nothing there"));
     }
     if default.entries().is_empty() {
@@ -312,7 +323,8 @@
     }
     Ok(Stated {
         units: default.get("units").map(|n| units_of(n, &place)).transpose()?,
-        class: default.get("class").map(|n| class_of(n, &place)).transpose()?,
+        class: default.get("class").map(|n| name_of(n, "class", &place)).transpose()?,
+        service: default.get("service").map(|n| name_of(n, "service", &place)).transpose()?,
     })
 }
 
@@ -323,9 +335,9 @@
     }
 }
 
-fn class_of(node: &Node, place: &str) -> Result<String, String> {
+fn name_of(node: &Node, what: &str, place: &str) -> Result<String, String> {
     let text = node.text().filter(|t| !t.is_empty());
-    text.map(str::to_owned).ok_or_else(|| format!("the class of {place} is no name"))
+    text.map(str::to_owned).ok_or_else(|| format!("the {what} of {place} is no name"))
 }
 
 /// The base paths of a list of servers, without a slash at their ends.
--- a/crates/settings/src/appliance.rs
+++ b/crates/settings/src/appliance.rs
@@ -29,6 +29,11 @@
     /// How destinations start.
     #[serde(default)]
     pub fleet: Fleet,
+    /// Further services.
+    #[serde(rename = "service", default)]
+    pub services: Vec<Service>,
+    /// This program's own registration.
+    pub register: Option<Register>,
     /// The instances that share periodic duties.
     pub cluster: Option<cluster::Cluster>,
     /// Active probing of the destinations.
@@ -53,17 +58,109 @@
 pub struct Consul {
     /// Its HTTP API.
     pub address: SocketAddr,
-    /// The service whose instances are the destinations.
+    /// Further agents, asked in this order while the first does not answer.
+    #[serde(default)]
+    pub agents: Vec<SocketAddr>,
+    /// The service whose instances are the destinations of routes that name none.
     pub service: String,
     /// Only instances with this tag.
     pub tag: Option<String>,
+    /// Consul's filter expression.
+    pub filter: Option<String>,
+    /// The file with the ACL token, relative to this file's folder; read anew when it changes.
+    pub token_file: Option<PathBuf>,
+    /// Datacentre, if not the agent's own.
+    pub datacenter: Option<String>,
+    /// Namespace.
+    pub namespace: Option<String>,
+    /// Partition.
+    pub partition: Option<String>,
+    /// Answers may come from a server that has heard from its leader this lately; without it the leader is asked.
+    pub stale_ms: Option<u64>,
     /// How long a blocking query may stay open.
     #[serde(default = "consul_wait")]
     pub wait_ms: u64,
+    /// The worst state that takes work.
+    #[serde(default)]
+    pub takes_work: TakesWork,
+    /// The file that keeps the last good list, relative to this file's folder.
+    pub list_file: Option<PathBuf>,
+    /// An older one is not used.
+    #[serde(default = "list_age")]
+    pub list_max_age_s: u64,
+    /// An instance that comes back for the second time is held for this, and each further time for twice as long ...
+    #[serde(default = "flap_hold")]
+    pub flap_hold_ms: u64,
+    /// ... up to this.
+    #[serde(default = "flap_longest")]
+    pub flap_longest_ms: u64,
+    /// Where this share of the list vanishes in one answer, the loss is held ...
+    #[serde(default = "sudden_share")]
+    pub sudden_share: f64,
+    /// ... for this long, for those that still answer.
+    #[serde(default = "sudden_hold")]
+    pub sudden_hold_ms: u64,
+}
+
+/// The worst state that takes work.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+pub enum TakesWork {
+    /// All checks pass.
+    #[default]
+    Passing,
+    /// Some check may warn.
+    Warning,
 }
 
 fn consul_wait() -> u64 {
-    30_000
+    10_000
+}
+fn list_age() -> u64 {
+    86_400
+}
+fn flap_hold() -> u64 {
+    2_000
+}
+fn flap_longest() -> u64 {
+    60_000
+}
+fn sudden_share() -> f64 {
+    0.5
+}
+fn sudden_hold() -> u64 {
+    15_000
+}
+
+/// A further service, for routes that name it.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// Its name.
+    pub name: String,
+    /// Only instances with this tag.
+    pub tag: Option<String>,
+    /// Consul's filter expression.
+    pub filter: Option<String>,
+}
+
+/// This program's own registration with the first agent.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Register {
+    /// The service's name.
+    pub name: String,
+    /// Its id, unlike that of any other instance.
+    pub id: String,
+    /// Where clients reach it, if not at `listen`.
+    pub address: Option<SocketAddr>,
+    /// Its check fails after this without a word.
+    #[serde(default = "register_ttl")]
+    pub ttl_ms: u64,
+}
+
+fn register_ttl() -> u64 {
+    10_000
 }
 
 /// How the quotas are shared.
@@ -249,15 +346,58 @@
     if file.limits.sockets < 128 || file.limits.route_steps == 0 || file.limits.route_steps > 16 {
         return bad("limits: sockets must be 128 at least, and route_steps 1 to 16".into());
     }
-    if file.consul.service.is_empty() || file.consul.wait_ms == 0 {
-        return bad("consul: service must have a name, and wait_ms must be above 0".into());
-    }
+    check_consul(&file)?;
     cluster::check(file.cluster.as_ref(), file.probe.as_ref(), &file.duties)?;
-    file.settings(1.0)?;
+    let pairs: Vec<(u16, usize)> = (0..file.classes.len()).map(|c| (0, c)).collect();
+    file.settings(1.0, &pairs)?;
     Ok(file)
 }
 
+fn check_consul(file: &Appliance) -> Result<(), ConfigError> {
+    let bad = |text: String| Err(ConfigError(text));
+    let consul = &file.consul;
+    if consul.service.is_empty() || consul.wait_ms == 0 || consul.wait_ms > 600_000 {
+        return bad("consul: service must have a name, and wait_ms must be 1 to 600000".into());
+    }
+    if consul.agents.contains(&consul.address) || consul.agents.len() > 8 {
+        return bad("consul: agents must be 8 at most, and address is not named again".into());
+    }
+    if !(consul.sudden_share > 0.0 && consul.sudden_share <= 1.0) {
+        return bad("consul: sudden_share must be above 0 and at most 1".into());
+    }
+    if consul.flap_hold_ms > consul.flap_longest_ms || consul.sudden_hold_ms > 600_000 {
+        return bad(
+            "consul: flap_longest_ms must be flap_hold_ms at least, and sudden_hold_ms 600000 at most".into(),
+        );
+    }
+    let services: Vec<&str> = file.service_names();
+    if let Some(i) =
+        (1..services.len()).find(|&i| services[i].is_empty() || services[..i].contains(&services[i]))
+    {
+        return bad(format!("service {:?} comes twice or has no name", services[i]));
+    }
+    if services.len() > 32 {
+        return bad("service: 32 are served at most".into());
+    }
+    if let Some(register) = &file.register {
+        if register.name.is_empty() || register.id.is_empty() || register.ttl_ms < 1_000 {
+            return bad("register: name and id are needed, and ttl_ms must be 1000 at least".into());
+        }
+        if register.address.unwrap_or(file.listen).port() == 0 {
+            return bad("register: listen has no port that clients could know; name an address".into());
+        }
+    }
+    Ok(())
+}
+
 impl Appliance {
+    /// The names of the services, the file's own first.
+    pub fn service_names(&self) -> Vec<&str> {
+        std::iter::once(self.consul.service.as_str())
+            .chain(self.services.iter().map(|s| s.name.as_str()))
+            .collect()
+    }
+
     /// The number of a class.
     pub fn class_number(&self, name: &str) -> Option<usize> {
         self.classes.iter().position(|c| c.name == name)
@@ -268,17 +408,22 @@
         self.plans.iter().position(|p| p.name == name)
     }
 
-    /// The module's settings where one request takes so many units at most.
+    /// The module's settings where one request takes so many units at most. The module's classes are these pairs of
+    /// service and class.
     ///
     /// # Errors
     ///
     /// The module cannot work by them.
-    pub fn settings(&self, largest: f64) -> Result<module::Settings, ConfigError> {
+    pub fn settings(&self, largest: f64, pairs: &[(u16, usize)]) -> Result<module::Settings, ConfigError> {
         let settings = module::Settings {
             gateways: self.quota.gatekeepers,
             me: self.quota.number,
             tick: 4_000,
-            classes: self.classes.iter().map(class).collect(),
+            classes: pairs
+                .iter()
+                .map(|&(service, c)| module::Class { service, ..class(&self.classes[c]) })
+                .collect(),
+            weighted: true,
             plans: self.plans.iter().map(plan).collect(),
             max_attempts: self.limits.route_steps,
             second_copies: true,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -343,6 +343,7 @@
         settles: s.specifics.settles,
         largest: s.specifics.largest.unwrap_or(1.0),
         cross_zone_cost: s.costs.cross_zone,
+        weighted: false,
     };
     settings.validate().map_err(|e| ConfigError(e.to_string()))?;
     Ok(settings)
@@ -367,6 +368,7 @@
         key_ttl: c.key_ttl_us,
         worth: c.worth,
         streaming: c.streaming,
+        service: 0,
     })
 }
 
--- /dev/null
+++ b/crates/snowfield/src/fleet.rs
@@ -0,0 +1,246 @@
+//! The appliance's destinations: the lists of all services and the verdicts of probes, as the destination side and the
+//! module are told of them.
+
+use catalogue::{Guards, Health, View};
+use cluster::Cluster;
+use consul::{Answered, ListFile, NUMBERS, Source, Watch, Watched};
+use destination::{HttpDestination, Place, Pools};
+use dewproxy::interface::{BackendEntry, ListKind, Micros, State};
+use exchange::Clock;
+use front_openapi::HttpExchange;
+use link::locked;
+use settings::appliance::{Appliance, TakesWork};
+use std::collections::{BTreeSet, HashMap, HashSet};
+use std::fmt::Write;
+use std::path::Path;
+use std::sync::{Arc, Mutex, OnceLock};
+use std::time::Duration;
+
+/// Destinations that the status shows of each service.
+const MOST_SHOWN: usize = 200;
+
+/// The destinations.
+pub struct Fleet {
+    clock: Clock,
+    exchange: Arc<HttpExchange>,
+    pools: Arc<Pools<HttpDestination>>,
+    known: Mutex<Known>,
+    cluster: OnceLock<Arc<Cluster>>,
+    watches: OnceLock<Vec<Arc<Watch>>>,
+    /// Numbers with route steps out, as of the last sweep.
+    busy: Arc<Mutex<HashSet<u32>>>,
+    /// More than one: ids are told apart by their service.
+    services: Vec<String>,
+}
+
+#[derive(Default)]
+struct Known {
+    /// By service; `None` until its first list.
+    views: Vec<Option<View>>,
+    /// The names that get no new work by their probes.
+    out: BTreeSet<String>,
+    /// By number: whether it took work, and the time from which it counts as started.
+    before: HashMap<u32, (bool, Option<u64>, Micros)>,
+}
+
+impl Fleet {
+    /// No list yet.
+    pub fn new(
+        clock: Clock,
+        exchange: Arc<HttpExchange>,
+        pools: Arc<Pools<HttpDestination>>,
+        file: &Appliance,
+    ) -> Self {
+        let services: Vec<String> = file.service_names().into_iter().map(str::to_owned).collect();
+        let known = Known { views: services.iter().map(|_| None).collect(), ..Known::default() };
+        Self {
+            clock,
+            exchange,
+            pools,
+            known: Mutex::new(known),
+            cluster: OnceLock::new(),
+            watches: OnceLock::new(),
+            busy: Arc::default(),
+            services,
+        }
+    }
+
+    /// The cluster is told of the fleet from now on.
+    pub fn join(&self, cluster: Arc<Cluster>) {
+        let _ = self.cluster.set(cluster);
+    }
+
+    /// Lets holds run out; call it twice a second or so.
+    pub fn sweep(&self) {
+        let status = self.exchange.status();
+        let busy = status.destinations.iter().filter(|(_, d)| d.1 > 0).map(|(n, _)| *n).collect();
+        *locked(&self.busy) = busy;
+        for watch in self.watches.get().into_iter().flatten() {
+            watch.tick();
+        }
+    }
+
+    fn name(&self, service: usize, id: &str) -> String {
+        if self.services.len() == 1 { id.to_owned() } else { format!("{}/{id}", self.services[service]) }
+    }
+
+    /// A service's list has changed.
+    fn listed(&self, service: usize, view: &View) {
+        let fleet = {
+            let mut known = locked(&self.known);
+            known.views[service] = Some(view.clone());
+            self.tell(&mut known);
+            let entries = known.views.iter().enumerate().flat_map(|(s, v)| v.iter().map(move |v| (s, v)));
+            let entries = entries.flat_map(|(s, v)| v.entries.iter().map(move |e| (s, e)));
+            entries.map(|(s, e)| (self.name(s, &e.instance.id), e.instance.address)).collect()
+        };
+        if let Some(cluster) = self.cluster.get() {
+            cluster.set_fleet(fleet);
+        }
+    }
+
+    /// Probes say which destinations are to get no new work.
+    pub fn probed(&self, out: &BTreeSet<String>) {
+        let mut known = locked(&self.known);
+        known.out.clone_from(out);
+        self.tell(&mut known);
+    }
+
+    /// Tells the destination side and the module all lists as they are, with the verdicts of probes.
+    fn tell(&self, known: &mut Known) {
+        if known.views.iter().all(Option::is_none) {
+            return;
+        }
+        let now = self.clock.now();
+        let (mut entries, mut places) = (Vec::new(), Vec::new());
+        let mut before = HashMap::new();
+        for (service, view) in known.views.iter().enumerate() {
+            let Some(view) = view else { continue };
+            let working = || view.entries.iter().filter(|e| e.takes_work);
+            // Sizes are told against their mean, so that a service whose weights are all 100 is like one of all 1.
+            let mean = working().map(|e| e.instance.weight).sum::<f64>() / working().count().max(1) as f64;
+            for entry in &view.entries {
+                let (id, instance) = (entry.number, &entry.instance);
+                let ready = entry.takes_work && !known.out.contains(&self.name(service, &instance.id));
+                let stated = instance.started.map(|ms| (ms * 1000).min(now));
+                let started = match known.before.get(&id) {
+                    // Back from its probes' verdict it may be cold; so may one that its list counts as begun anew.
+                    Some(&(was_ready, since, started)) if since == entry.since && (was_ready || !ready) => {
+                        started
+                    }
+                    Some(_) => stated.unwrap_or(now),
+                    None if entry.since.is_some() => stated.unwrap_or(now),
+                    None => stated.unwrap_or(0),
+                };
+                before.insert(id, (ready, entry.since, started));
+                let state = if ready { State::Ready } else { State::Draining };
+                let size = if mean > 0.0 { instance.weight / mean } else { 1.0 };
+                places.push(Place { id, address: instance.address, state, started });
+                let service = service as u16;
+                entries.push(BackendEntry { id, state, started, size, service, ..BackendEntry::default() });
+            }
+        }
+        known.before = before;
+        self.pools.listed(ListKind::Full, &places);
+        self.exchange.listed(ListKind::Full, entries);
+    }
+
+    /// The fleet as the console shows it.
+    pub fn report(&self) -> String {
+        let status = self.exchange.status();
+        let [served, busy, failed] = status.answers;
+        let mut out = format!(
+            "operations\n  unanswered {}  served {served}  busy {busy}  failed {failed}  units {}  counter calls {}\n",
+            status.unanswered, status.units_sent, status.calls
+        );
+        let by_probes = locked(&self.known).out.clone();
+        for (service, watch) in self.watches.get().into_iter().flatten().enumerate() {
+            let (entries, origin) = watch.shown();
+            let _ = writeln!(out, "destinations of {}  from {origin}", watch.service());
+            for (id, number, word, takes_work) in entries.iter().take(MOST_SHOWN) {
+                let steps = status.destinations.get(number).map_or(0, |d| d.1);
+                let probed = by_probes.contains(&self.name(service, id));
+                let word = match (takes_work, probed) {
+                    (true, true) => "out by its probes".to_owned(),
+                    (true, false) => word.clone(),
+                    (false, _) => format!("no new work: {word}"),
+                };
+                let _ = writeln!(out, "  {id}  {word}  route steps out {steps}");
+            }
+            if entries.len() > MOST_SHOWN {
+                let _ = writeln!(out, "  and {} more", entries.len() - MOST_SHOWN);
+            }
+        }
+        let _ = writeln!(out, "connections to destinations {}", self.pools.open());
+        if let Some(cluster) = self.cluster.get() {
+            out.push_str(&crate::appliance::cluster_report(cluster));
+        }
+        out
+    }
+}
+
+/// Where Consul is, as the file says.
+pub fn source(file: &Appliance, folder: &Path) -> Source {
+    let consul = &file.consul;
+    Source {
+        agents: std::iter::once(consul.address).chain(consul.agents.iter().copied()).collect(),
+        token_file: consul.token_file.as_ref().map(|name| folder.join(name)),
+        datacenter: consul.datacenter.clone(),
+        namespace: consul.namespace.clone(),
+        partition: consul.partition.clone(),
+        stale_ms: consul.stale_ms,
+        wait: Duration::from_millis(consul.wait_ms),
+    }
+}
+
+/// Starts the watches on all services.
+///
+/// # Errors
+///
+/// The token file cannot be used, or there is no thread to be had.
+pub fn watch(
+    fleet: &Arc<Fleet>,
+    file: &Appliance,
+    folder: &Path,
+    answered: &Arc<Answered>,
+) -> Result<(), String> {
+    let consul = &file.consul;
+    let source = source(file, folder);
+    source.token().map_err(|e| format!("consul: token_file: {e}"))?;
+    let list_file = consul.list_file.as_ref().map(|name| {
+        let services = file.service_names().into_iter().map(str::to_owned);
+        Arc::new(ListFile::open(folder.join(name), consul.list_max_age_s, services))
+    });
+    let guards = Guards {
+        worst: match consul.takes_work {
+            TakesWork::Passing => Health::Passing,
+            TakesWork::Warning => Health::Warning,
+        },
+        flap_hold: consul.flap_hold_ms,
+        flap_longest: consul.flap_longest_ms,
+        sudden_share: consul.sudden_share,
+        sudden_hold: consul.sudden_hold_ms,
+        ..Guards::default()
+    };
+    let own = (consul.service.clone(), consul.tag.clone(), consul.filter.clone());
+    let others = file.services.iter().map(|s| (s.name.clone(), s.tag.clone(), s.filter.clone()));
+    let watches = std::iter::once(own).chain(others).enumerate().map(|(i, (service, tag, filter))| {
+        let first_number = i as u32 * NUMBERS;
+        let watched = Watched { service, tag, filter, guards: guards.clone(), first_number };
+        let (told, busy) = (fleet.clone(), fleet.busy.clone());
+        Watch::new(
+            source.clone(),
+            watched,
+            answered.clone(),
+            list_file.clone(),
+            Box::new(move |view| told.listed(i, view)),
+            Box::new(move |number| locked(&busy).contains(&number)),
+        )
+    });
+    let watches: Vec<_> = watches.collect();
+    for watch in &watches {
+        watch.start().map_err(|e| format!("consul: {e}"))?;
+    }
+    let _ = fleet.watches.set(watches);
+    Ok(())
+}
--- a/crates/snowfield/src/hosts.rs
+++ b/crates/snowfield/src/hosts.rs
@@ -49,6 +49,7 @@
                 zone: position(&mut self.zones, host.az).min(255) as u8,
                 kind: position(&mut self.kinds, host.model).min(65_535) as u16,
                 cell: host.pod_group,
+                service: 0,
                 state,
                 size: host.capacity_hint,
                 started,
--- a/crates/snowfield/src/main.rs
+++ b/crates/snowfield/src/main.rs
@@ -4,6 +4,7 @@
 mod clock;
 mod console;
 mod duties;
+mod fleet;
 mod hosts;
 mod platform;
 mod signals;
--- a/crates/stand_in_consul/src/lib.rs
+++ b/crates/stand_in_consul/src/lib.rs
@@ -38,6 +38,28 @@
     Closed,
 }
 
+/// What a check says.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Status {
+    /// All is well.
+    #[default]
+    Passing,
+    /// Not quite.
+    Warning,
+    /// It fails.
+    Critical,
+}
+
+impl Status {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Passing => "passing",
+            Self::Warning => "warning",
+            Self::Critical => "critical",
+        }
+    }
+}
+
 /// An instance of a service, as the health and catalogue pages show it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Service {
@@ -45,8 +67,54 @@
     pub id: String,
     /// Where it listens.
     pub address: SocketAddr,
-    /// Whether all its checks pass.
-    pub passing: bool,
+    /// What its check says.
+    pub status: Status,
+    /// It is in maintenance.
+    pub maintenance: bool,
+    /// Its node's own check passes.
+    pub node_well: bool,
+    /// Its weights, passing and warning.
+    pub weights: (u32, u32),
+    /// Its tags.
+    pub tags: Vec<String>,
+    /// Its metadata.
+    pub meta: BTreeMap<String, String>,
+}
+
+impl Service {
+    /// A plain one whose check passes.
+    pub fn new(id: &str, address: SocketAddr) -> Self {
+        Self {
+            id: id.to_owned(),
+            address,
+            status: Status::Passing,
+            maintenance: false,
+            node_well: true,
+            weights: (1, 1),
+            tags: Vec::new(),
+            meta: BTreeMap::new(),
+        }
+    }
+
+    /// The same with another check.
+    pub fn with(self, status: Status) -> Self {
+        Self { status, ..self }
+    }
+
+    fn passes(&self) -> bool {
+        self.status == Status::Passing && !self.maintenance && self.node_well
+    }
+}
+
+/// A registration that came through the agent's pages.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Registered {
+    /// The service's name.
+    pub name: String,
+    /// Its port.
+    pub port: u16,
+    /// How often its TTL check was passed.
+    pub passed: u64,
 }
 
 /// What a stand-in holds.
@@ -58,6 +126,16 @@
     pub services: BTreeMap<String, Vec<Service>>,
     /// The index of the services' last change.
     pub services_index: u64,
+    /// By id what has been registered through the agent.
+    pub registered: BTreeMap<String, Registered>,
+    /// The token that requests must bring (`X-Consul-Token`).
+    pub token: Option<String>,
+    /// What `X-Consul-LastContact` says, in milliseconds, and whether there is a leader.
+    pub last_contact: u64,
+    /// There is no leader: said on every answer.
+    pub leaderless: bool,
+    /// Bodies are compressed where the caller takes that.
+    pub gzip: bool,
     /// Grows when the stand-in is started anew: blocking queries end.
     life: u64,
     /// Told of each request's method and target.
--- a/src/bin/dewproxy-drill/settings.rs
+++ b/src/bin/dewproxy-drill/settings.rs
@@ -60,6 +60,7 @@
         settles: pairs.or("specifics.settles", false)?,
         largest: pairs.or("specifics.largest", 1.0)?,
         cross_zone_cost: pairs.or("costs.cross-zone", 0.0)?,
+        weighted: false,
     };
     settings.validate().map_err(|error| error.to_string())?;
     Ok(settings)
@@ -96,6 +97,7 @@
         key_ttl: pairs.or(&format!("{at}.key-ttl-us"), 0)?,
         worth: pairs.or(&format!("{at}.worth"), 1.0)?,
         streaming: pairs.or(&format!("{at}.streaming"), false)?,
+        service: 0,
     })
 }
 
--- a/src/control.rs
+++ b/src/control.rs
@@ -83,6 +83,8 @@
 /// s; memory of a backend's speed, and of latency over all backends.
 const SLOW_MEMORY: f64 = 10.0;
 const PART_MEMORY: f64 = 1.0;
+/// s; memory of what was sent to a backend, where work goes by size.
+const SENT_MEMORY: f64 = 1.0;
 /// Part of a key's life left for the journey of a repeat.
 const KEY_MARGIN: f64 = 0.15;
 
@@ -111,7 +113,10 @@
     top_worth: f64,
     copies: f64,
     next_ask: Micros,
+    /// The fleet of the service in hand, whose number that is, and the fleets of all others in their places.
     fleet: Fleet,
+    serving: u16,
+    fleets: Vec<Fleet>,
 }
 
 impl Gateway {
@@ -130,6 +135,9 @@
         let worth = settings.classes.iter().map(|c| c.worth).fold(0.0, f64::max);
         let price = settings.plans.iter().map(|p| p.price).fold(0.0, f64::max);
         let start = mean(settings.classes.iter().map(|c| c.aim).max().unwrap_or(1));
+        let fleet =
+            || Fleet { since: now, part: EARLY_PART, latency: start, hold: start, ..Fleet::default() };
+        let services = settings.classes.iter().map(|c| c.service).max().unwrap_or(0);
         Ok(Self {
             rng: fastrand::Rng::with_seed(seed),
             now,
@@ -151,7 +159,9 @@
             top_worth: worth * price,
             copies: COPY_MOST / 2.0,
             next_ask: now,
-            fleet: Fleet { since: now, part: EARLY_PART, latency: start, hold: start, ..Fleet::default() },
+            fleet: fleet(),
+            serving: 0,
+            fleets: (0..=services).map(|_| fleet()).collect(),
             ticking: false,
             s: settings,
         })
@@ -197,6 +207,16 @@
         }
     }
 
+    /// Turns to the fleet that serves a class. Each service has its places, limits and news of its own; a
+    /// customer's bucket and ceiling are one over all of them.
+    fn turn_to(&mut self, service: u16) {
+        if service != self.serving {
+            std::mem::swap(&mut self.fleet, &mut self.fleets[usize::from(self.serving)]);
+            std::mem::swap(&mut self.fleet, &mut self.fleets[usize::from(service)]);
+            self.serving = service;
+        }
+    }
+
     // ---- Admission ----
 
     /// Decides at once where the bucket is sure. Where a fresh total could change the decision, as with many
@@ -206,6 +226,7 @@
             return;
         }
         let key = request.customer;
+        self.turn_to(self.s.classes[request.class].service);
         self.meet_customer(key, request.plan, set);
         // Under a ceiling a guessed request is held at its class's largest until settled.
         let held = self.s.settles && self.s.plans[request.plan].ceiling_rate > 0.0;
@@ -230,6 +251,7 @@
     /// Refuses what its bucket, its ceiling or the back end has no room for, and sends the rest.
     fn decide(&mut self, id: u32, out: &mut Actions) -> bool {
         let Some(mut r) = self.requests.remove(&id) else { return false };
+        self.turn_to(self.s.classes[r.class].service);
         let (key, reserved) = (r.customer, std::mem::take(&mut r.reserved));
         self.customers.entry(key).and_modify(|c| c.spend(-reserved));
         let c = &self.customers[&key];
@@ -490,8 +512,10 @@
     fn surcharge_factor(&self, class: usize) -> f64 {
         let ratio = self.ratio();
         let (classes, worth) = (&self.s.classes, self.s.classes[class].worth);
-        let rank = classes.iter().filter(|c| c.worth < worth).count();
-        let highest = rank > 0 && classes.iter().all(|c| c.worth <= worth);
+        // A class that several services serve stands there once for each.
+        let same = || classes.iter().filter(|c| c.service == self.s.classes[class].service);
+        let rank = same().filter(|c| c.worth < worth).count();
+        let highest = rank > 0 && same().all(|c| c.worth <= worth);
         let floor = RATIO_FLOOR / f64::from(1u32 << rank.min(16));
         if ratio < floor && !highest { 1.0 / ratio.max(0.05) } else { 1.0 }
     }
@@ -550,7 +574,13 @@
     /// Own answers count by their age; without any a backend is like the others.
     fn expected_wait(&self, b: &Backend) -> f64 {
         let cross = if b.entry.zone == self.s.zone { 1.0 } else { 1.0 + 10.0 * self.s.cross_zone_cost };
-        self.slowness(b) * (1.0 + f64::from(b.out)) * cross / self.warmth(b).max(0.05)
+        // By size, what was sent lately counts too: when little is out, sizes would not show.
+        let taken = if self.fleet.uneven {
+            (1.0 + f64::from(b.out) / b.size()) * (1.0 + b.sent / b.size())
+        } else {
+            1.0 + f64::from(b.out)
+        };
+        self.slowness(b) * taken * cross / self.warmth(b).max(0.05)
     }
 
     /// A backend for a further attempt of a request that is held.
@@ -577,7 +607,8 @@
             a.outcome.is_none() && (self.fleet.sickness_is_shared || !lost)
         };
         let out = |r: &Request| r.attempts.iter().filter(|a| waits(r, a)).count();
-        self.requests.values().map(out).sum::<usize>() as f64
+        let here = |r: &&Request| self.s.classes[r.class].service == self.serving;
+        self.requests.values().filter(here).map(out).sum::<usize>() as f64
     }
 
     fn may_take(&self, b: &Backend, request: &Request) -> bool {
@@ -590,7 +621,8 @@
         if let Some(trial) = b.sickness(request.class).filter(|_| !self.fleet.sickness_is_shared) {
             return self.now >= trial;
         }
-        f64::from(b.out) < (TRUST / f64::from(self.s.gateways)).max(1.0)
+        let size = if self.fleet.uneven { b.size().max(1.0) } else { 1.0 };
+        f64::from(b.out) < (TRUST / f64::from(self.s.gateways)).max(1.0) * size
     }
 
     /// The share of its capacity that a backend surely has: the slowest legal warm-up.
@@ -633,10 +665,16 @@
             }
         }
         self.backends.retain(|_, b| b.entry.state != State::Gone || b.out > 0);
-        let ready = self.backends.iter().filter(|(_, b)| b.entry.state == State::Ready);
-        self.fleet.ready = ready.map(|(&id, _)| id).collect();
-        let (even, most) = self.places();
-        self.fleet.limit = if self.fleet.limit == 0.0 { even } else { self.fleet.limit.min(most) };
+        for service in 0..self.fleets.len() as u16 {
+            self.turn_to(service);
+            let here = |b: &Backend| b.entry.state == State::Ready && b.entry.service == service;
+            let ready = self.backends.iter().filter(|(_, b)| here(b));
+            self.fleet.ready = ready.map(|(&id, _)| id).collect();
+            let sizes = || self.fleet.ready.iter().map(|id| self.backends[id].size());
+            self.fleet.uneven = self.s.weighted && sizes().any(|s| Some(s) != sizes().next());
+            let (even, most) = self.places();
+            self.fleet.limit = if self.fleet.limit == 0.0 { even } else { self.fleet.limit.min(most) };
+        }
     }
 
     /// Its even part of the places at all backends, and with chance on top: with many its traffic is uneven.
@@ -647,7 +685,8 @@
     }
 
     fn ready_backends(&self) -> impl Iterator<Item = &Backend> {
-        self.backends.values().filter(|b| b.entry.state == State::Ready)
+        let here = |b: &&Backend| b.entry.state == State::Ready && b.entry.service == self.serving;
+        self.backends.values().filter(here)
     }
 
     /// A backend that swallows work is found by the age of what is out there with no answer since: of any
@@ -778,6 +817,7 @@
         let attempt = r.attempts.len() as u8;
         r.attempts.push(Attempt { backend, group, sent: now, outcome: None });
         b.out += 1;
+        b.sent += 1.0;
         b.cold_right -= 1.0;
         self.fleet.last_send = now;
         // A trial of one class is a trial for all that are thought lost there.
@@ -798,6 +838,7 @@
         let Some(a) = r.attempts.get(attempt).filter(|a| a.outcome.is_none()) else { return };
         let (sent, latest, backend) = (a.sent, attempt + 1 == r.attempts.len(), a.backend);
         let relative = (self.now - sent) as f64 / self.kinds[r.class].mean;
+        self.turn_to(self.s.classes[r.class].service);
         // Its answer will be late at best: known before it comes.
         self.note_part(1.0, sent);
         self.judge(backend, relative.min(WORST));
@@ -821,6 +862,7 @@
         if let Some(b) = self.backends.get_mut(&backend) {
             b.out = b.out.saturating_sub(1);
         }
+        self.turn_to(self.s.classes[kind.0].service);
         self.learn(kind, backend, sent, elapsed, outcome);
         if outcome != Outcome::Ok && self.requests.get(&id).is_some_and(|r| !r.answered) {
             self.try_again(id, outcome, out);
@@ -847,7 +889,10 @@
 
     /// The one final answer that this gateway gives itself.
     fn answer(&mut self, id: u32, out: &mut Actions) {
-        let Some(r) = self.requests.get(&id).filter(|r| !r.answered && !r.streaming) else { return };
+        let open = self.requests.get(&id).filter(|r| !r.answered && !r.streaming);
+        let Some(service) = open.map(|r| self.s.classes[r.class].service) else { return };
+        self.turn_to(service);
+        let Some(r) = self.requests.get(&id) else { return };
         let refuse = self.may_refuse(r).then(|| Action::Refuse { id, retry_after: self.advice(r) });
         out.push(refuse.unwrap_or(Action::Fail { id }));
         self.close(id);
@@ -898,7 +943,10 @@
         }
         self.look_for_silence();
         if self.now >= self.fleet.since + FLEET_TICK {
-            self.look_at_fleet();
+            for service in 0..self.fleets.len() as u16 {
+                self.turn_to(service);
+                self.look_at_fleet();
+            }
         }
         if self.s.must_ask && self.now >= self.next_ask {
             self.next_ask = self.now + self.s.ask_every / 2;
@@ -920,7 +968,11 @@
         for id in self.fleet.ready.clone() {
             let b = &self.backends[&id];
             let more = if self.warmth(b) < 1.0 { self.cold_rate(b) * span } else { 0.0 };
-            self.backends.entry(id).and_modify(|b| b.cold_right = (b.cold_right + more).min(2.0));
+            let fades = (-span / SENT_MEMORY).exp();
+            self.backends.entry(id).and_modify(|b| {
+                b.cold_right = (b.cold_right + more).min(2.0);
+                b.sent *= fades;
+            });
         }
         // When most are sick at once the cause is shared, and none is left out.
         let sick = self.ready_backends().filter(|b| b.health.iter().all(|h| h.sick.is_some())).count();
@@ -956,6 +1008,11 @@
         Self { entry, slow: 1.0, health, answered: now, learned: now, ..Backend::default() }
     }
 
+    /// Its size against the others', in bounds: what is no size must not take all work, or none for good.
+    fn size(&self) -> f64 {
+        if self.entry.size.is_finite() { self.entry.size.clamp(0.05, 20.0) } else { 1.0 }
+    }
+
     /// The time of the next trial where it is thought to lose work of this class.
     fn sickness(&self, class: usize) -> Option<Micros> {
         self.health.get(class).and_then(|h| h.sick)
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -46,6 +46,8 @@
     pub worth: f64,
     /// Answers come as a stream.
     pub streaming: bool,
+    /// The service that serves it: backends of others are never sent its requests.
+    pub service: u16,
 }
 
 /// A plan: the quotas of each of its customers, over all gateways together.
@@ -152,6 +154,8 @@
     pub largest: f64,
     /// Price of an attempt that crosses zones, in worth per request.
     pub cross_zone_cost: f64,
+    /// Work goes to backends in proportion to their sizes.
+    pub weighted: bool,
 }
 
 /// Why settings can't be used; the text names the setting.
@@ -187,6 +191,7 @@
             key_ttl: 0,
             worth: 1.0,
             streaming: false,
+            service: 0,
         }
     }
 }
@@ -237,6 +242,7 @@
             settles: false,
             largest: 1.0,
             cross_zone_cost: 0.0,
+            weighted: false,
         }
     }
 }
@@ -319,6 +325,8 @@
     pub cell: u16,
     /// Where it stands.
     pub state: State,
+    /// The service that it belongs to.
+    pub service: u16,
     /// A size to compare with other backends.
     pub size: f64,
     /// Clock of its most recent start; 0 for long ago.
@@ -328,7 +336,7 @@
 impl Default for BackendEntry {
     /// A backend of size 1 that has been ready for long.
     fn default() -> Self {
-        Self { id: 0, zone: 0, kind: 0, cell: 0, state: State::Ready, size: 1.0, started: 0 }
+        Self { id: 0, zone: 0, kind: 0, cell: 0, service: 0, state: State::Ready, size: 1.0, started: 0 }
     }
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -64,6 +64,8 @@
     pub(crate) turned_away: BTreeMap<(usize, usize), Micros>,
     /// Sends that are due to it while it is cold.
     pub(crate) cold_right: f64,
+    /// Sends lately, where work goes by size.
+    pub(crate) sent: f64,
     /// Until when nothing is sent since no connection was to be had, and the last pause.
     pub(crate) shut: Micros,
     pub(crate) shut_pause: Micros,
@@ -129,6 +131,8 @@
 pub(crate) struct Fleet {
     /// Ids of the ready ones, in no order.
     pub(crate) ready: Vec<u32>,
+    /// Work goes by size, and sizes differ.
+    pub(crate) uneven: bool,
     pub(crate) sickness_is_shared: bool,
     /// Attempts that this gateway may have out, and when that was last cut.
     pub(crate) limit: f64,
