--- a/crates/proofs/src/bin/proof-duties.rs
+++ b/crates/proofs/src/bin/proof-duties.rs
@@ -143,6 +143,18 @@
     duties.iter().map(worst).max().unwrap_or(0)
 }
 
+/// The longest time between two runs of a duty in a stretch, in seconds.
+fn longest_gap(came: &[Came], duties: &BTreeSet<String>, (from, to): (f64, f64)) -> f64 {
+    let mut last: BTreeMap<&str, f64> = BTreeMap::new();
+    let mut longest: f64 = 0.0;
+    for c in came.iter().filter(|c| c.at >= from && c.at <= to && duties.contains(&c.duty)) {
+        if let Some(before) = last.insert(&c.duty, c.at) {
+            longest = longest.max(c.at - before);
+        }
+    }
+    longest
+}
+
 /// For each duty that one of these did last before a time: how long until it ran again, in seconds, sorted.
 fn taken_over(came: &[Came], at: f64, gone: &[usize]) -> Vec<f64> {
     let gone: Vec<String> = gone.iter().map(|i| format!("m{i}")).collect();
@@ -310,6 +322,9 @@
         missed(&came, &duties, after_outage.0 + 1.0, after_outage.1) as f64,
         1.0,
     );
+    table.tell("longest gap between two runs of a duty, calm, s", format!("{:.3}", longest_gap(&came, &duties, calm)));
+    let stretch = (calm.0, without_half.1);
+    table.at_most("... half killed at once, s", longest_gap(&came, &duties, stretch), 2.0 * PERIOD + 0.1);
     let spans = taken_over(&came, half, &killed);
     table.tell("time to take over when half die, median, s", format!("{:.3}", percentile(&spans, 0.5)));
     table.at_most("... worst, s", spans.last().copied().unwrap_or(f64::INFINITY), 2.0 * PERIOD);
