--- a/crates/proofs/src/bin/proof-duties.rs
+++ b/crates/proofs/src/bin/proof-duties.rs
@@ -322,7 +322,10 @@
         missed(&came, &duties, after_outage.0 + 1.0, after_outage.1) as f64,
         1.0,
     );
-    table.tell("longest gap between two runs of a duty, calm, s", format!("{:.3}", longest_gap(&came, &duties, calm)));
+    table.tell(
+        "longest gap between two runs of a duty, calm, s",
+        format!("{:.3}", longest_gap(&came, &duties, calm)),
+    );
     let stretch = (calm.0, without_half.1);
     table.at_most("... half killed at once, s", longest_gap(&came, &duties, stretch), 2.0 * PERIOD + 0.1);
     let spans = taken_over(&came, half, &killed);
