--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 	echo "src/control.rs: $$lines non-blank lines ($(LINES) at most), widest line $$widest ($(WIDTH) at most)"; \
 	[ "$$lines" -le $(LINES) ] && [ "$$widest" -le $(WIDTH) ]
 
-# Shared duties: the model in full, the pure modules up to 1,000 instances, and real programs. About six minutes.
+# Shared duties: the model in full, the pure modules up to 300 instances, and real programs. About four minutes.
 proof-duties: build
 	cargo test --release --locked -p claims --test model -- --ignored --nocapture
 	target/release/proof-duties-simulated
