--- a/crates/proofs/src/bin/proof-duties-simulated.rs
+++ b/crates/proofs/src/bin/proof-duties-simulated.rs
@@ -26,6 +26,7 @@
 
 fn main() -> ExitCode {
     let mut bounds = Table::default();
+    println!("Gossip every {} ms.\n", std::env::args().nth(2).unwrap_or("200".into()));
     println!(
         "| instances | duties | all see all, s | claims a s | reads a s | gossip a s and instance, bytes | half dead seen by \
          all, s | rounds missed in a row | doubles | memory of an instance, kB | of it a duty, bytes | took, s |\n\
@@ -36,6 +37,8 @@
         // 1,000 takes more than ten minutes and is asked for by its number.
         None => vec![10, 30, 100, 300],
     };
+    // Milliseconds between two rounds of gossip: large clusters gossip less often.
+    let gossip: u64 = std::env::args().nth(2).and_then(|a| a.parse().ok()).unwrap_or(200);
     let mut worst = 0;
     for &instances in &sizes {
         let begun = Instant::now();
@@ -47,7 +50,7 @@
             standbys: 4,
             skew: 100,
             loss: 0.1,
-            gossip: 200,
+            gossip,
             seed: 7,
         };
         let mut world = World::new(site);
