--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -308,6 +308,11 @@
         names
     }
 
+    /// How many live, this instance too.
+    pub fn count(&self) -> usize {
+        self.foca.num_members() + 1
+    }
+
     /// All members that are known, this instance aside, with whether each lives.
     pub fn members(&self) -> Vec<(Member, bool)> {
         let mut all: Vec<(Member, bool)> = self
--- a/crates/simulated/src/lib.rs
+++ b/crates/simulated/src/lib.rs
@@ -93,6 +93,8 @@
     life: u64,
     ticks_at: u64,
     paused: bool,
+    /// Its members have changed since the scheduler was told: a burst of changes is told once.
+    changed: bool,
     /// What has come while it was paused.
     waiting: VecDeque<Event>,
 }
@@ -250,6 +252,7 @@
             life,
             ticks_at: u64::MAX,
             paused: false,
+            changed: false,
             waiting: VecDeque::new(),
         });
         self.tick_at(i, self.now);
@@ -302,7 +305,7 @@
 
     /// How many instances see just these many members alive.
     pub fn seeing(&self, members: usize) -> usize {
-        self.instances.iter().flatten().filter(|i| i.membership.living().len() == members).count()
+        self.instances.iter().flatten().filter(|i| i.membership.count() == members).count()
     }
 
     /// Who each living instance sees alive.
@@ -378,6 +381,10 @@
                 }
                 instance.ticks_at = 0;
                 instance.membership.tick(now.mono, &mut outputs);
+                if std::mem::take(&mut instance.changed) {
+                    let living = instance.membership.living();
+                    instance.scheduler.set_members(now, living);
+                }
                 instance.scheduler.tick(now, &mut actions);
             }
             Event::Datagram(_, bytes) => instance.membership.datagram(now.mono, &bytes, &mut outputs),
@@ -395,10 +402,7 @@
             },
             Event::Answer(..) | Event::Call(..) => return,
         }
-        if outputs.contains(&Output::Changed) {
-            let living = instance.membership.living();
-            instance.scheduler.set_members(now, living);
-        }
+        instance.changed |= outputs.contains(&Output::Changed);
         let life = instance.life;
         let next = instance
             .membership
