--- a/src/control.rs
+++ b/src/control.rs
@@ -580,7 +580,7 @@
         } else {
             1.0 + f64::from(b.out)
         };
-        self.slowness(b) * taken * cross / self.warmth(b).max(0.05)
+        self.slowness(b) * taken * cross
     }
 
     /// A backend for a further attempt of a request that is held.
