Keep each of many gatekeepers to a few loan servers of its own, cold ones shared by those few

Cause: each gatekeeper drew over the whole list (choose). Change: ready ones stand in an order that follows from the gatekeeper's number; the first few that can be used and are not known slow are drawn from, so it widens by itself past bad ones. 12 gatekeepers share a loan server, 8 each at the least; with up to 12 gatekeepers all of them as before. Rights to cold ones are for these few alone: not grown wider. Tests: tests/fleet.rs drives 100 modules in simulated time; all three fail before this and the choice of cold ones.

--- a/src/control.rs
+++ b/src/control.rs
@@ -53,6 +53,10 @@
 const LEAST: f64 = 3.0;
 /// Part of the aim that is thought the mean latency before any answer.
 const START_PART: f64 = 0.2;
+/// Gateways that share a backend where there are many, and the fewest backends that one keeps to: enough for
+/// a lost zone and a release at once. Fewer connections are held, and the same few are known better.
+const SHARERS: f64 = 12.0;
+const FEWEST: usize = 8;
 /// Share of all places that the cheapest work leaves to the dearest when places run short.
 const RESERVE: f64 = 0.5;
 /// Part of its aim that an attempt may be out with no answer from its backend since, before that is sick.
@@ -523,30 +527,35 @@
     // ---- Choice of backend ----
 
     /// The best of a few good backends drawn at random: all gateways know about the same, so taking the
-    /// very best would send them all to one. The fewer gateways there are, the more are compared.
+    /// very best would send them all to one. The fewer gateways there are, the more are compared. Among many,
+    /// each keeps to the first few of an order of its own, and goes on in it past those that can't be used.
     fn choose(&mut self, request: &Request, first: bool) -> Option<u32> {
         if first && !self.spare_for(request) {
             return None;
         }
         let draws = 2 + 2 * self.fleet.ready.len() / self.s.gateways as usize;
-        let (mut best, mut good) = (None, 0);
-        for i in 0..self.fleet.ready.len() {
-            let j = self.rng.usize(i..self.fleet.ready.len());
-            self.fleet.ready.swap(i, j);
-            let id = self.fleet.ready[i];
+        let (mut best, mut good, mut mine) = (None, 0, Vec::new());
+        for &id in &self.fleet.ready {
             let b = &self.backends[&id];
             let tried = request.attempts.iter().any(|a| a.backend == id);
             if !tried && self.may_take(b, request) && self.may_attempt(request, b) {
-                let wait = self.expected_wait(b);
-                if best.is_none_or(|(least, _)| wait < least) {
-                    best = Some((wait, id));
-                }
+                mine.push(id);
                 good += usize::from(self.slowness(b) < GOOD);
-                if good >= draws {
+                if good >= self.fleet.few {
                     break;
                 }
             }
         }
+        good = 0;
+        while !mine.is_empty() && good < draws {
+            let id = mine.swap_remove(self.rng.usize(..mine.len()));
+            let b = &self.backends[&id];
+            let wait = self.expected_wait(b);
+            if best.is_none_or(|(least, _)| wait < least) {
+                best = Some((wait, id));
+            }
+            good += usize::from(self.slowness(b) < GOOD);
+        }
         best.map(|(_, id)| id)
     }
 
@@ -639,8 +648,9 @@
     fn cold_rate(&self, b: &Backend) -> f64 {
         let (gateways, span) = (f64::from(self.s.gateways), self.s.fall_span as f64 / SECOND);
         let most = self.s.overload_factor * self.warmth(b) * self.fleet.rate * gateways * span;
-        let chance = COLD_CHANCE * most.min(gateways).sqrt();
-        (most - chance).max(most / 4.0) / gateways / span
+        let sharers = gateways * (self.fleet.few as f64 / self.fleet.ready.len().max(1) as f64).min(1.0);
+        let chance = COLD_CHANCE * most.min(sharers).sqrt();
+        (most - chance).max(most / 4.0) / sharers / span
     }
 
     // ---- Health ----
@@ -670,6 +680,10 @@
             let here = |b: &Backend| b.entry.state == State::Ready && b.entry.service == service;
             let ready = self.backends.iter().filter(|(_, b)| here(b));
             self.fleet.ready = ready.map(|(&id, _)| id).collect();
+            let me = mix(u64::from(self.s.me));
+            self.fleet.ready.sort_by_key(|&id| mix(me ^ u64::from(id)));
+            let part = self.fleet.ready.len() as f64 * (SHARERS / f64::from(self.s.gateways)).min(1.0);
+            self.fleet.few = (part.ceil() as usize).max(FEWEST);
             let sizes = || self.fleet.ready.iter().map(|id| self.backends[id].size());
             self.fleet.uneven = self.s.weighted && sizes().any(|s| Some(s) != sizes().next());
             let (even, most) = self.places();
@@ -970,9 +984,11 @@
         // Bad news of first contacts fades, or what was bad once would never be tried again.
         self.fleet.first += (1.0 - self.fleet.first) * (span / SLOW_MEMORY).min(1.0);
         self.fleet.rate = self.fleet.seen.max(SECOND / self.fleet.latency / f64::from(self.s.gateways));
-        for id in self.fleet.ready.clone() {
+        for (rank, id) in self.fleet.ready.clone().into_iter().enumerate() {
             let b = &self.backends[&id];
-            let more = if self.warmth(b) < 1.0 { self.cold_rate(b) * span } else { 0.0 };
+            // Only its sharers have rights to a cold one, however far others must go in their order.
+            let due = self.warmth(b) < 1.0 && rank < self.fleet.few;
+            let more = if due { self.cold_rate(b) * span } else { 0.0 };
             let fades = (-span / SENT_MEMORY).exp();
             self.backends.entry(id).and_modify(|b| {
                 b.cold_right = (b.cold_right + more).min(2.0);
--- a/src/state.rs
+++ b/src/state.rs
@@ -129,8 +129,9 @@
 /// What is known of the backends together.
 #[derive(Debug, Default)]
 pub(crate) struct Fleet {
-    /// Ids of the ready ones, in no order.
+    /// Ids of the ready ones in this gateway's own order, and how many of the first it keeps to.
     pub(crate) ready: Vec<u32>,
+    pub(crate) few: usize,
     /// Work goes by size, and sizes differ.
     pub(crate) uneven: bool,
     pub(crate) sickness_is_shared: bool,
--- /dev/null
+++ b/tests/common/fleet.rs
@@ -0,0 +1,289 @@
+//! A fleet of decision modules in simulated time: gateways, backends with two cores and a line, and a counter.
+//!
+//! Everything that happens is an entry in one queue by time, and chance comes from one seed, so a run is the same each
+//! time. Nothing here decides: it only counts what the gateways do together.
+
+use super::*;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, HashSet};
+
+/// What happens to a gateway, by its number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum What {
+    Arrival(usize),
+    Timer(usize, u64),
+    Answer(usize, u32, u8),
+    TooLate(usize, u32, u8),
+    Count(usize, u64, u64),
+}
+
+/// A backend as it is.
+#[derive(Clone, Debug)]
+pub struct Server {
+    /// When each core is free.
+    cores: [Micros; 2],
+    /// It takes requests and never answers.
+    pub swallows: bool,
+    /// us of work that a warm core does in a us.
+    pub speed: f64,
+    /// Its start; 0 for long ago.
+    pub started: Micros,
+}
+
+/// What a fleet is made of and what is asked of it.
+pub struct Shape {
+    pub gateways: u32,
+    pub servers: u32,
+    /// Requests a second over all gateways.
+    pub rate: f64,
+    /// us; mean work of a request.
+    pub work: f64,
+    pub seed: u64,
+}
+
+/// A try that a gateway was given.
+struct Try {
+    came: Micros,
+    deadline: Micros,
+    /// Backend, time of sending and whether it is over, by attempt.
+    attempts: Vec<(u32, Micros, bool)>,
+    over: bool,
+}
+
+/// A fleet and what it did.
+pub struct Fleet {
+    pub now: Micros,
+    pub settings: Settings,
+    plan: Shape,
+    gateways: Vec<Gateway>,
+    pub servers: HashMap<u32, Server>,
+    tries: Vec<HashMap<u32, Try>>,
+    queue: BinaryHeap<Reverse<(Micros, u64, What)>>,
+    serial: u64,
+    next_id: u32,
+    rng: fastrand::Rng,
+    counts: HashMap<u64, f64>,
+    /// All sends: time, gateway, backend.
+    pub sends: Vec<(Micros, usize, u32)>,
+    /// Tries that came, that were answered in time, and that were refused or failed.
+    pub tally: [usize; 3],
+}
+
+impl Fleet {
+    pub fn new(plan: Shape) -> Self {
+        let class = Class { aim: 1_500 * MS, deadline: 6 * SECOND, effect: Effect::Safe, ..Class::default() };
+        let settings = Settings {
+            gateways: plan.gateways,
+            classes: vec![class],
+            plans: vec![dewproxy::interface::Plan::default()],
+            max_attempts: 6,
+            second_copies: true,
+            cold_share: 0.16,
+            cold_span: 17 * SECOND,
+            overload_factor: 4.0,
+            fall_span: 1_500 * MS,
+            counter: true,
+            counter_wait: 30 * MS,
+            largest: 8.0,
+            ..Settings::default()
+        };
+        let now = 1_000 * SECOND;
+        let server = Server { cores: [0; 2], swallows: false, speed: 1.0, started: 0 };
+        let mut fleet = Self {
+            now,
+            gateways: Vec::new(),
+            servers: (1..=plan.servers).map(|id| (id, server.clone())).collect(),
+            tries: (0..plan.gateways).map(|_| HashMap::new()).collect(),
+            queue: BinaryHeap::new(),
+            serial: 0,
+            next_id: 0,
+            rng: fastrand::Rng::with_seed(plan.seed),
+            counts: HashMap::new(),
+            sends: Vec::new(),
+            tally: [0; 3],
+            settings,
+            plan,
+        };
+        for me in 0..fleet.plan.gateways {
+            let settings = Settings { me, ..fleet.settings.clone() };
+            let seed = fleet.rng.u64(..);
+            fleet.gateways.push(Gateway::new(settings, seed, now).expect("usable settings"));
+            let entries = fleet.list();
+            fleet.feed(me as usize, Event::Backends { kind: ListKind::Cached, entries });
+            let first = fleet.gap();
+            fleet.at(now + first, What::Arrival(me as usize));
+        }
+        fleet
+    }
+
+    /// The whole list as it is.
+    pub fn list(&self) -> Vec<BackendEntry> {
+        let entry = |(&id, s): (&u32, &Server)| BackendEntry { id, started: s.started, ..Default::default() };
+        let mut list: Vec<_> = self.servers.iter().map(entry).collect();
+        list.sort_by_key(|e| e.id);
+        list
+    }
+
+    /// Puts new cold backends in the place of these, and tells every gateway.
+    pub fn replace(&mut self, ids: &[u32]) -> Vec<u32> {
+        let next = self.servers.keys().max().copied().unwrap_or(0);
+        for (i, id) in ids.iter().enumerate() {
+            let mut server = self.servers.remove(id).expect("it is there");
+            (server.cores, server.started) = ([0; 2], self.now);
+            self.servers.insert(next + 1 + i as u32, server);
+        }
+        for g in 0..self.gateways.len() {
+            let entries = self.list();
+            self.feed(g, Event::Backends { kind: ListKind::Full, entries });
+        }
+        (1..=ids.len() as u32).map(|i| next + i).collect()
+    }
+
+    /// Until when a backend's share of its capacity rises, and that share now: the slowest legal warm-up.
+    fn warmth(&self, s: &Server, now: Micros) -> f64 {
+        if s.started == 0 {
+            return 1.0;
+        }
+        let age = (now - s.started) as f64 / self.settings.cold_span as f64;
+        (self.settings.cold_share + (1.0 - self.settings.cold_share) * age).min(1.0)
+    }
+
+    /// The largest part of the cold rule's budget that was sent to one backend in any of its windows.
+    pub fn cold_budget_used(&self, id: u32) -> f64 {
+        let (s, span) = (&self.servers[&id], self.settings.fall_span);
+        let carries = 2.0 * s.speed * SECOND as f64 / self.plan.work;
+        let times: Vec<Micros> = self.sends.iter().filter(|x| x.2 == id).map(|x| x.0).collect();
+        let mut worst: f64 = 0.0;
+        for (i, &from) in times.iter().enumerate() {
+            let warmth = self.warmth(s, from);
+            if warmth >= 1.0 {
+                break;
+            }
+            let sent = times[i..].iter().take_while(|&&t| t < from + span).count() as f64;
+            let budget = self.settings.overload_factor * warmth * carries * span as f64 / SECOND as f64;
+            worst = worst.max(sent / budget);
+        }
+        worst
+    }
+
+    /// How many backends a gateway has sent to since a time, in the mean over gateways.
+    pub fn backends_used(&self, since: Micros) -> f64 {
+        let pairs: HashSet<_> = self.sends.iter().filter(|x| x.0 >= since).map(|x| (x.1, x.2)).collect();
+        pairs.len() as f64 / self.gateways.len() as f64
+    }
+
+    pub fn run_until(&mut self, until: Micros) {
+        while let Some(&Reverse((at, _, what))) = self.queue.peek()
+            && at <= until
+        {
+            self.queue.pop();
+            self.now = at;
+            self.happen(what);
+        }
+        self.now = until;
+    }
+
+    fn at(&mut self, at: Micros, what: What) {
+        self.serial += 1;
+        self.queue.push(Reverse((at, self.serial, what)));
+    }
+
+    fn gap(&mut self) -> Micros {
+        let mean = f64::from(self.plan.gateways) / self.plan.rate * SECOND as f64;
+        (-(1.0 - self.rng.f64()).ln() * mean) as Micros + 1
+    }
+
+    fn happen(&mut self, what: What) {
+        match what {
+            What::Arrival(g) => {
+                let (id, deadline) = (self.next_id, self.now + self.settings.classes[0].deadline);
+                self.next_id += 1;
+                self.tally[0] += 1;
+                self.tries[g].insert(id, Try { came: self.now, deadline, attempts: Vec::new(), over: false });
+                let gap = self.gap();
+                self.at(self.now + gap, What::Arrival(g));
+                self.feed(
+                    g,
+                    Event::Request {
+                        id,
+                        class: 0,
+                        plan: 0,
+                        customer: u64::from(id % 50),
+                        time_left: deadline - self.now,
+                        set_size: 4.0,
+                        units: 1.0,
+                        repeat: false,
+                    },
+                );
+            }
+            What::Timer(g, token) => self.feed(g, Event::Timer { token }),
+            What::Answer(g, id, attempt) => self.ended(g, id, attempt, Outcome::Ok),
+            What::TooLate(g, id, attempt) => self.ended(g, id, attempt, Outcome::Timeout),
+            What::Count(g, name, add) => {
+                let total = self.counts.entry(name).or_insert(0.0);
+                *total += f64::from_bits(add);
+                let total = *total;
+                self.feed(g, Event::Counted { name, total, elapsed: 2 * MS, outcome: Outcome::Ok });
+            }
+        }
+    }
+
+    fn ended(&mut self, g: usize, id: u32, attempt: u8, outcome: Outcome) {
+        let now = self.now;
+        let Some(t) = self.tries[g].get_mut(&id) else { return };
+        let (backend, sent, ended) = &mut t.attempts[usize::from(attempt)];
+        if std::mem::replace(ended, true) {
+            return;
+        }
+        let (backend, elapsed) = (*backend, now - *sent);
+        if outcome == Outcome::Ok && !std::mem::replace(&mut t.over, true) {
+            self.tally[1] += usize::from(now <= t.came + self.settings.classes[0].aim);
+        }
+        let settled = t.over;
+        let ended =
+            Event::Ended { id, attempt, backend, outcome, elapsed, units: 0.0, settled, load: vec![] };
+        self.feed(g, ended);
+    }
+
+    fn feed(&mut self, g: usize, event: Event) {
+        let mut actions = Vec::new();
+        self.gateways[g].handle(self.now, event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Send { id, backend, .. } => self.send(g, id, backend),
+                Action::Refuse { id, .. } | Action::Fail { id } => {
+                    let t = self.tries[g].get_mut(&id).expect("it was given");
+                    assert!(!std::mem::replace(&mut t.over, true), "answered twice");
+                    self.tally[2] += 1;
+                }
+                Action::Timer { after, token } => self.at(self.now + after, What::Timer(g, token)),
+                Action::Count { name, add, .. } => {
+                    self.at(self.now + 2 * MS, What::Count(g, name, add.to_bits()));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn send(&mut self, g: usize, id: u32, backend: u32) {
+        let now = self.now;
+        self.sends.push((now, g, backend));
+        let t = self.tries[g].get_mut(&id).expect("it was given");
+        let (attempt, deadline) = (t.attempts.len() as u8, t.deadline);
+        t.attempts.push((backend, now, false));
+        let work = -(1.0 - self.rng.f64()).ln() * self.plan.work;
+        let mut done = Micros::MAX;
+        if let Some(s) = self.servers.get(&backend).filter(|s| !s.swallows) {
+            let took = (work / s.speed / self.warmth(s, now)) as Micros;
+            let cores = &mut self.servers.get_mut(&backend).expect("it is there").cores;
+            let core = usize::from(cores[1] < cores[0]);
+            cores[core] = cores[core].max(now) + took;
+            done = cores[core];
+        }
+        if done < deadline {
+            self.at(done, What::Answer(g, id, attempt));
+        } else {
+            self.at(deadline, What::TooLate(g, id, attempt));
+        }
+    }
+}
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,62 @@
+//! What a hundred gateways do together: each of these is harmless at one gateway and harmful as a sum.
+
+mod common;
+#[path = "common/fleet.rs"]
+mod fleet;
+use common::*;
+use dewproxy::Gateway;
+use dewproxy::interface::*;
+use fleet::{Fleet, Shape};
+
+/// 60 backends that carry 11.6 requests a second each, and a hundred gateways that are asked for this part of that.
+fn hundred(load: f64, seed: u64) -> Fleet {
+    let work = 172.0 * MS as f64;
+    let rate = load * 60.0 * 2.0 * SECOND as f64 / work;
+    Fleet::new(Shape { gateways: 100, servers: 60, rate, work, seed })
+}
+
+/// Each gateway once held a connection to every backend, and knew each from one answer in ten seconds.
+#[test]
+fn each_gateway_keeps_to_a_few_backends_and_all_backends_are_used() {
+    for seed in 0..3 {
+        let mut fleet = hundred(0.5, seed);
+        let from = fleet.now;
+        fleet.run_until(from + 20 * SECOND);
+        let used = fleet.backends_used(from);
+        assert!(used < 15.0, "seed {seed}: {used} backends for each gateway");
+        let mut sent = std::collections::BTreeMap::new();
+        fleet.sends.iter().for_each(|s| *sent.entry(s.2).or_insert(0) += 1);
+        assert_eq!(sent.len(), 60, "seed {seed}: a backend that nobody keeps to");
+        let [came, good, _] = fleet.tally;
+        assert!(good as f64 > 0.9 * came as f64, "seed {seed}: {good} of {came} in time");
+    }
+}
+
+/// A backend that swallows costs each gateway its first request to it, so few may get to know it the hard way.
+#[test]
+fn backends_that_swallow_cost_few_gateways_anything() {
+    for seed in 0..3 {
+        let mut fleet = hundred(0.5, seed);
+        (1..=6).for_each(|id| fleet.servers.get_mut(&id).expect("there").swallows = true);
+        let from = fleet.now;
+        fleet.run_until(from + 20 * SECOND);
+        let lost = fleet.sends.iter().filter(|s| s.2 <= 6).count();
+        assert!(lost < 250, "seed {seed}: {lost} sends were swallowed");
+    }
+}
+
+/// Six in ten are replaced at once. What all send to each cold one stays under the rule, and is still enough to carry work.
+#[test]
+fn cold_backends_by_the_tens_are_used_and_never_pushed_over() {
+    for seed in 0..3 {
+        let mut fleet = hundred(0.6, seed);
+        let from = fleet.now;
+        fleet.run_until(from + 8 * SECOND);
+        let cold = fleet.replace(&(1..=36).collect::<Vec<_>>());
+        fleet.run_until(from + 20 * SECOND);
+        let worst = cold.iter().map(|&id| fleet.cold_budget_used(id)).fold(0.0, f64::max);
+        assert!(worst < 1.0, "seed {seed}: {worst} of the budget in a window");
+        let used = fleet.sends.iter().filter(|s| cold.contains(&s.2)).count();
+        assert!(used > 1_000, "seed {seed}: {used} sends to the cold ones in 12 s");
+    }
+}
