Start the test of first counter calls late enough that each gateway has a place

Need: since what has no place is refused before the counter is asked, gateways at the first microsecond asked nothing. Change: the test starts at 10 s; its bounds stay as they are.

--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -764,7 +764,8 @@
     let calls = |gateways: u32| -> usize {
         let s = Settings { gateways, counter_wait: 80 * MS, ..settings() };
         let of_one = |me| {
-            let mut b = Bench::new(Settings { me, ..s.clone() }, &backends(4));
+            // Late enough that none is refused for want of a place, which would spare its call.
+            let mut b = Bench::start(Settings { me, ..s.clone() }, &backends(4), 10 * SECOND);
             let out: Vec<_> = (1..=5).flat_map(|id| b.feed(request_of(id, 0, u64::from(id)))).collect();
             out.iter().filter(|a| matches!(a, Action::Count { .. })).count()
         };
