Think in doubt that other gatekeepers spend at the quota's rate at least

Cause: a gatekeeper of a set of 50 to 100 hears of a customer every ten seconds or so; its estimate of what the others spend comes from one or two totals and is often 0, so it was sure of a total that was long out of date and asked nobody. Change: spare takes the larger of the estimate and the rate, which a set of one or two does not feel.

--- a/src/control.rs
+++ b/src/control.rs
@@ -332,7 +332,8 @@
             return (c.own - taken, f64::INFINITY);
         }
         let unseen = (self.now - c.synced) as f64 / SECOND;
-        (c.level - taken, DOUBT * (c.others_rate * unseen * self.s.largest).sqrt())
+        let others = c.others_rate.max(self.s.plans[c.plan].rate * (1.0 - 2.0 / c.set));
+        (c.level - taken, DOUBT * (others * unseen * self.s.largest).sqrt())
     }
 
     /// Whether the bucket holds the price: by the own part where the shared is in doubt, lest all gateways
