Write off in the shared count of a large set what no store could hold

Cause: a count only adds up, so what a calm customer left unused for 20 s was still there to be read: gatekeepers of a set of 75 meet a customer for the first time all the time, and each read a full store however many had just been spent. Change: who reads more than one and a half stores in a set of more than 12 adds what is over; answers for a name come in order, so who was not the first to do so sees it in its own answer and takes it back.

--- a/src/control.rs
+++ b/src/control.rs
@@ -47,8 +47,7 @@
 const EARLY_PART: f64 = 0.3;
 const LATE_PART: f64 = 0.45;
 /// Attempts that all gateways together may have out at a backend when all is well, and when its answers are
-/// late. Below the second a backend idles: what is late then is the work, not a queue. Over many gateways the
-/// part is below 1 and spaces single attempts out, since even one each can be a jam.
+/// late. Below the second a backend idles: what is late then is the work, not a queue.
 const TRUST: f64 = 8.0;
 const LEAST: f64 = 3.0;
 /// Part of the aim that is thought the mean latency before any answer.
@@ -437,24 +436,30 @@
                 let unseen = (now - c.synced) as f64 / SECOND;
                 let before = c.known.filter(|k| k.0 == name).map_or(0.0, |k| k.1);
                 let others = total - added - before;
+                let (wrote, left) = (std::mem::take(&mut c.wrote), plan.burst + plan.rate * age - total);
                 if c.known.is_none() {
                     // All that filled since the epoch began, less what all spent, is left: at most a store.
-                    c.level = (plan.burst + plan.rate * age - total).min(plan.burst - added) - c.pending;
+                    c.level = left.min(plan.burst - added) - c.pending;
                 } else if c.synced < self.counter.returned || others < -2.0 * self.s.largest {
                     // Silence, or forgotten totals: all parts are thought as full as this one's.
                     c.level = (c.own * c.set).min(plan.burst) - c.pending;
                 } else {
-                    // What filled and what all spent since the last total, in one: spend that came bit by bit
-                    // while the store was full took nothing from it. No store gives more than it can hold.
+                    // In one: spend that came bit by bit while the store was full took nothing from it.
                     let others = others.min(plan.burst + plan.rate * unseen);
                     c.learn_split(others, now);
                     c.level = (c.base + plan.rate * unseen - others - c.spent).min(plan.burst);
                 }
-                // The first to use a name writes off the time before it, so that a gateway that has just
-                // started reads what is left and not a full store.
+                // The first to use a name writes off the time before it, lest a gateway that has just started
+                // reads a full store; so does, where many share it, who reads more than a store holds. Who was
+                // not the first to do so takes it back.
                 if c.known.is_none() && total <= added {
                     c.pending += plan.rate * age;
                     c.level = plan.burst - added;
+                } else if c.set > SHARERS && left > 1.5 * plan.burst {
+                    c.wrote = left - plan.burst;
+                    c.pending += c.wrote;
+                } else if wrote > 0.0 && left < plan.burst - 0.75 * wrote {
+                    c.pending -= wrote;
                 }
                 (c.base, c.spent, c.synced) = (c.level, 0.0, now);
                 c.known = Some((name, total));
@@ -529,9 +534,8 @@
 
     // ---- Choice of backend ----
 
-    /// The best of a few good backends drawn at random: all gateways know about the same, so taking the
-    /// very best would send them all to one. The fewer gateways there are, the more are compared. Among many,
-    /// each keeps to the first few of an order of its own, and goes on in it past those that can't be used.
+    /// The best of a few good backends drawn at random: taking the very best would send all gateways to one.
+    /// Among many, each keeps to the first few of its own order, and goes on in it past what can't be used.
     fn choose(&mut self, request: &Request, first: bool) -> Option<u32> {
         if first && !self.spare_for(request) {
             return None;
@@ -560,9 +564,7 @@
     }
 
     /// Latency over its class's mean that is expected of a backend. Own news counts by its age; what is not
-    /// known is thought as bad as first contacts lately were: each of hundreds of gateways pays its own first
-    /// contact at every bad backend. So while many are bad, whatever ails them (no connections left, jams,
-    /// slow machines), known good ones go first. It hurts when those few jam, until their own answers tell.
+    /// known is thought as bad as first contacts lately were: while many are bad, known good ones go first.
     fn slowness(&self, b: &Backend) -> f64 {
         let fresh = (-((self.now - b.learned) as f64) / SECOND / SLOW_MEMORY).exp();
         let first = self.fleet.first.max(1.0);
@@ -734,9 +736,8 @@
             Outcome::Full => {
                 b.turned_away.insert((class, plan), now + TURNED_AWAY * gateways);
             }
-            // Dead, or its connections are used up by others: nothing of any class gets in here. Who holds a
-            // connection never sees this, so what is crowded is left by those alone who cannot use it. It
-            // hurts where a backend is back early, by the last pause. It held no place, so takes no turn.
+            // Dead, or its connections are used up: nothing of any class gets in here. Who holds a connection
+            // never sees this, so what is crowded is left by those alone who cannot use it. It held no place.
             Outcome::ConnectFailed => {
                 b.shut_pause = (2 * b.shut_pause).clamp(TURNED_AWAY * gateways, SICK_LONGEST);
                 b.shut = now + b.shut_pause;
--- a/src/state.rs
+++ b/src/state.rs
@@ -17,6 +17,8 @@
     pub(crate) spent: f64,
     pub(crate) at: Micros,
     pub(crate) pending: f64,
+    /// Units that no store could hold, written off with the last call.
+    pub(crate) wrote: f64,
     pub(crate) held: f64,
     pub(crate) others_rate: f64,
     /// The name last read and its total then.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -820,3 +820,55 @@
         assert!(refused(&second) && count(&second).is_none(), "{me}: {second:?}");
     }
 }
+
+/// A customer that used little for a while had its unused units pile up in the shared count, and each of many gateways
+/// that met it for the first time read a full store there, however many had just been spent.
+#[test]
+fn gateways_of_a_large_set_that_meet_a_customer_first_read_no_more_than_a_store() {
+    for customer in 0..8 {
+        let mut counts = std::collections::BTreeMap::new();
+        let mut answer = |b: &mut Bench, mut all: Vec<Action>| -> usize {
+            let mut next = 0;
+            while next < all.len() {
+                if let Action::Count { name, add, .. } = all[next] {
+                    let total = counts.entry(name).or_insert(0.0);
+                    *total += add;
+                    let told = counted(name, *total, Outcome::Ok);
+                    all.extend(b.feed(told));
+                }
+                next += 1;
+            }
+            sends(&all).len()
+        };
+        let ask = |id, units| {
+            let (class, plan, set_size, time_left, repeat) = (0, 0, 50.0, SECOND, false);
+            Event::Request { id, class, plan, customer, time_left, set_size, units, repeat }
+        };
+        let gateway = |me, now| {
+            let plans = vec![Plan { rate: 10.0, burst: 20.0, ..Plan::default() }];
+            let s = Settings { gateways: 50, me, plans, counter_wait: 500 * MS, ..settings() };
+            Bench::start(s, &backends(50), now)
+        };
+        let mut calm = gateway(0, 100 * SECOND);
+        for id in 0..12 {
+            calm.now += SECOND;
+            let out = calm.feed(ask(id, 1.0));
+            assert!(answer(&mut calm, out) <= 1);
+            let end = calm.now + 100 * MS;
+            let told = calm.tick_until(end);
+            answer(&mut calm, told);
+            calm.end(id, 0, 1, Outcome::Ok);
+        }
+        let mut let_in = 0;
+        for me in 1..50 {
+            let mut b = gateway(me, 100 * SECOND);
+            b.now = calm.now + 50 * MS;
+            let out = b.feed(ask(1, 4.0));
+            let_in += answer(&mut b, out);
+        }
+        assert!(
+            (1..=10).contains(&let_in),
+            "customer {customer}: {let_in} times 4 units out of a store of 20"
+        );
+    }
+}
