--- a/src/control.rs
+++ b/src/control.rs
@@ -450,8 +450,8 @@
                     c.level = (c.base + plan.rate * unseen - others - c.spent).min(plan.burst);
                 }
                 // The first to use a name writes off the time before it, lest a gateway that has just started
-                // reads a full store; so does, where many share it, who reads more than a store holds. Who was
-                // not the first to do so takes it back.
+                // reads a full store; so does, where many share it, who reads more than a store holds. Who
+                // was not the first to do so takes it back.
                 if c.known.is_none() && total <= added {
                     c.pending += plan.rate * age;
                     c.level = plan.burst - added;
