--- a/crates/snowfield/src/platform.rs
+++ b/crates/snowfield/src/platform.rs
@@ -28,7 +28,6 @@
     let path = std::env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG names no configuration file")?;
     let config = read(&path)?;
     link::set_up();
-    println!("PROBESET {:?}", config.settings);
     let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
     let Parts { front, door, watch, counter } = start(config)?;
     signals::serve_until(
