--- a/crates/discovery/src/pace.rs
+++ b/crates/discovery/src/pace.rs
@@ -53,25 +53,23 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use std::collections::{BTreeMap, VecDeque};
+    use std::collections::{BTreeSet, VecDeque};
 
-    const MS: u64 = 1;
-    /// What discovery bears, how long a call may wait, and how many may: beyond that a call is turned away at once. A call
+    /// ms; what discovery bears, how long a call may wait, and how many may: beyond that a call is turned away at once. A call
     /// that nobody waits for any more is served all the same.
-    const SERVICE: u64 = 60 * MS;
-    const WAIT: u64 = 2_000 * MS;
+    const SERVICE: u64 = 60;
+    const WAIT: u64 = 2_000;
     const LINE: usize = 90;
 
     /// A hundred gatekeepers whose watches end at the same moment, before a service of fixed capacity. Returns ms until the
     /// last one has its watch back, if all have within a minute, and the calls made.
     fn all_lose(seed: u64, mut pause: impl FnMut(usize, Duration) -> Duration) -> (Option<u64>, usize) {
         let mut chance = fastrand::Rng::with_seed(seed);
-        let mut due: BTreeMap<(u64, usize), ()> = (0..100)
-            .map(|who| ((pause(who, GIVEN).as_millis() as u64 + chance.u64(0..5), who), ()))
-            .collect();
+        let mut due: BTreeSet<(u64, usize)> =
+            (0..100).map(|who| (pause(who, GIVEN).as_millis() as u64 + chance.u64(0..5), who)).collect();
         let (mut line, mut next, mut back, mut calls) = (VecDeque::new(), 0, 0, 0);
         for now in 0..60_000 {
-            while let Some((&(at, who), ())) = due.first_key_value()
+            while let Some(&(at, who)) = due.first()
                 && at <= now
             {
                 due.pop_first();
@@ -79,7 +77,7 @@
                 if line.len() < LINE {
                     line.push_back((now, who));
                 } else {
-                    due.insert((now + 1 + pause(who, Duration::ZERO).as_millis() as u64, who), ());
+                    due.insert((now + 1 + pause(who, Duration::ZERO).as_millis() as u64, who));
                 }
             }
             if now >= next
@@ -94,7 +92,7 @@
                 } else {
                     // It was told so when its time was up.
                     let at = since + WAIT + pause(who, Duration::from_millis(WAIT)).as_millis() as u64;
-                    due.insert((at.max(now), who), ());
+                    due.insert((at.max(now), who));
                 }
             }
         }
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -24,10 +24,8 @@
     cores: [Micros; 2],
     /// It takes requests and never answers.
     pub swallows: bool,
-    /// us of work that a warm core does in a us.
-    pub speed: f64,
     /// Its start; 0 for long ago.
-    pub started: Micros,
+    started: Micros,
 }
 
 /// What a fleet is made of and what is asked of it.
@@ -53,8 +51,8 @@
 /// A fleet and what it did.
 pub struct Fleet {
     pub now: Micros,
-    pub settings: Settings,
-    plan: Shape,
+    settings: Settings,
+    shape: Shape,
     gateways: Vec<Gateway>,
     pub servers: HashMap<u32, Server>,
     tries: Vec<HashMap<u32, Try>>,
@@ -70,12 +68,12 @@
 }
 
 impl Fleet {
-    pub fn new(plan: Shape) -> Self {
+    pub fn new(shape: Shape) -> Self {
         let class = Class { aim: 1_500 * MS, deadline: 6 * SECOND, effect: Effect::Safe, ..Class::default() };
         let settings = Settings {
-            gateways: plan.gateways,
+            gateways: shape.gateways,
             classes: vec![class],
-            plans: vec![dewproxy::interface::Plan::default()],
+            plans: vec![Plan::default()],
             max_attempts: 6,
             second_copies: true,
             cold_share: 0.16,
@@ -88,23 +86,23 @@
             ..Settings::default()
         };
         let now = 1_000 * SECOND;
-        let server = Server { cores: [0; 2], swallows: false, speed: 1.0, started: 0 };
+        let server = Server { cores: [0; 2], swallows: false, started: 0 };
         let mut fleet = Self {
             now,
             gateways: Vec::new(),
-            servers: (1..=plan.servers).map(|id| (id, server.clone())).collect(),
-            tries: (0..plan.gateways).map(|_| HashMap::new()).collect(),
+            servers: (1..=shape.servers).map(|id| (id, server.clone())).collect(),
+            tries: (0..shape.gateways).map(|_| HashMap::new()).collect(),
             queue: BinaryHeap::new(),
             serial: 0,
             next_id: 0,
-            rng: fastrand::Rng::with_seed(plan.seed),
+            rng: fastrand::Rng::with_seed(shape.seed),
             counts: HashMap::new(),
             sends: Vec::new(),
             tally: [0; 3],
             settings,
-            plan,
+            shape,
         };
-        for me in 0..fleet.plan.gateways {
+        for me in 0..fleet.shape.gateways {
             let settings = Settings { me, ..fleet.settings.clone() };
             let seed = fleet.rng.u64(..);
             fleet.gateways.push(Gateway::new(settings, seed, now).expect("usable settings"));
@@ -117,7 +115,7 @@
     }
 
     /// The whole list as it is.
-    pub fn list(&self) -> Vec<BackendEntry> {
+    fn list(&self) -> Vec<BackendEntry> {
         let entry = |(&id, s): (&u32, &Server)| BackendEntry { id, started: s.started, ..Default::default() };
         let mut list: Vec<_> = self.servers.iter().map(entry).collect();
         list.sort_by_key(|e| e.id);
@@ -139,7 +137,7 @@
         (1..=ids.len() as u32).map(|i| next + i).collect()
     }
 
-    /// Until when a backend's share of its capacity rises, and that share now: the slowest legal warm-up.
+    /// The share of its capacity that a backend has: the slowest legal warm-up.
     fn warmth(&self, s: &Server, now: Micros) -> f64 {
         if s.started == 0 {
             return 1.0;
@@ -151,7 +149,7 @@
     /// The largest part of the cold rule's budget that was sent to one backend in any of its windows.
     pub fn cold_budget_used(&self, id: u32) -> f64 {
         let (s, span) = (&self.servers[&id], self.settings.fall_span);
-        let carries = 2.0 * s.speed * SECOND as f64 / self.plan.work;
+        let carries = 2.0 * SECOND as f64 / self.shape.work;
         let times: Vec<Micros> = self.sends.iter().filter(|x| x.2 == id).map(|x| x.0).collect();
         let mut worst: f64 = 0.0;
         for (i, &from) in times.iter().enumerate() {
@@ -189,7 +187,7 @@
     }
 
     fn gap(&mut self) -> Micros {
-        let mean = f64::from(self.plan.gateways) / self.plan.rate * SECOND as f64;
+        let mean = f64::from(self.shape.gateways) / self.shape.rate * SECOND as f64;
         (-(1.0 - self.rng.f64()).ln() * mean) as Micros + 1
     }
 
@@ -271,10 +269,10 @@
         let t = self.tries[g].get_mut(&id).expect("it was given");
         let (attempt, deadline) = (t.attempts.len() as u8, t.deadline);
         t.attempts.push((backend, now, false));
-        let work = -(1.0 - self.rng.f64()).ln() * self.plan.work;
+        let work = -(1.0 - self.rng.f64()).ln() * self.shape.work;
         let mut done = Micros::MAX;
         if let Some(s) = self.servers.get(&backend).filter(|s| !s.swallows) {
-            let took = (work / s.speed / self.warmth(s, now)) as Micros;
+            let took = (work / self.warmth(s, now)) as Micros;
             let cores = &mut self.servers.get_mut(&backend).expect("it is there").cores;
             let core = usize::from(cores[1] < cores[0]);
             cores[core] = cores[core].max(now) + took;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -60,11 +60,22 @@
 
     /// Answers calls to a counter with this total, and those that follow; returns all actions.
     pub fn count_in(&mut self, actions: Vec<Action>, total: &mut f64) -> Vec<Action> {
+        self.count_by_name(actions, |_, add| {
+            *total += add;
+            *total
+        })
+    }
+
+    /// The same with a counter that tells the total of a name after an amount was added.
+    pub fn count_by_name(
+        &mut self,
+        actions: Vec<Action>,
+        mut total: impl FnMut(u64, f64) -> f64,
+    ) -> Vec<Action> {
         let (mut all, mut next) = (actions, 0);
         while next < all.len() {
             if let Action::Count { name, add, .. } = all[next] {
-                *total += add;
-                all.extend(self.feed(counted(name, *total, Outcome::Ok)));
+                all.extend(self.feed(counted(name, total(name, add), Outcome::Ok)));
             }
             next += 1;
         }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -827,17 +827,12 @@
 fn gateways_of_a_large_set_that_meet_a_customer_first_read_no_more_than_a_store() {
     for customer in 0..8 {
         let mut counts = std::collections::BTreeMap::new();
-        let mut answer = |b: &mut Bench, mut all: Vec<Action>| -> usize {
-            let mut next = 0;
-            while next < all.len() {
-                if let Action::Count { name, add, .. } = all[next] {
-                    let total = counts.entry(name).or_insert(0.0);
-                    *total += add;
-                    let told = counted(name, *total, Outcome::Ok);
-                    all.extend(b.feed(told));
-                }
-                next += 1;
-            }
+        let mut answer = |b: &mut Bench, actions| {
+            let all = b.count_by_name(actions, |name, add| {
+                let total = counts.entry(name).or_insert(0.0);
+                *total += add;
+                *total
+            });
             sends(&all).len()
         };
         let ask = |id, units| {
