Answer operators at a door of their own: readyz, telemetry, exclude and include

The exchange counts ends by class, the pools attempts written whole, the module tells its members. Event::Held keeps a loan server out whatever the list says; called back it counts as cold. With the cold start at a call back taken out the new module test fails (50 of 50 sends to the one called back).

--- a/crates/destination/src/lib.rs
+++ b/crates/destination/src/lib.rs
@@ -7,8 +7,9 @@
 use dewproxy::interface::{ListKind, Micros, Outcome, State};
 use exchange::{Destinations, Exchange, RouteStep, StepEnd, StepId};
 use link::{Incoming, Link, locked, spawn};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, Weak};
 use std::time::{Duration, Instant};
 
@@ -91,6 +92,8 @@
     limits: Limits,
     exchange: OnceLock<Arc<Exchange<P::Query, P::Answer>>>,
     state: Mutex<Table<P::Query>>,
+    /// Route steps whose last byte the system has taken.
+    written: AtomicU64,
 }
 
 struct Table<Q> {
@@ -98,6 +101,8 @@
     busy: HashMap<StepId, Busy<Q>>,
     /// Connections that are open or being made.
     open: usize,
+    /// Destinations that operators have taken out, listed or not: they get nothing new.
+    held: HashSet<u32>,
 }
 
 struct Pool<Q> {
@@ -117,14 +122,24 @@
 struct Connection<Q> {
     link: Link,
     to: SocketAddr,
-    job: Mutex<Option<(StepId, Arc<Q>)>>,
+    job: Mutex<Option<Job<Q>>>,
+}
+
+/// The route step on a connection.
+struct Job<Q> {
+    step: StepId,
+    query: Arc<Q>,
+    /// Its last byte is with the system.
+    written: bool,
 }
 
 impl<P: Protocol> Pools<P> {
     /// Pools that know no destination yet.
     pub fn new(protocol: P, limits: Limits) -> Arc<Self> {
-        let state = Mutex::new(Table { pools: HashMap::new(), busy: HashMap::new(), open: 0 });
-        Arc::new_cyclic(|me| Self { me: me.clone(), protocol, limits, exchange: OnceLock::new(), state })
+        let state =
+            Mutex::new(Table { pools: HashMap::new(), busy: HashMap::new(), open: 0, held: HashSet::new() });
+        let (exchange, written) = (OnceLock::new(), AtomicU64::new(0));
+        Arc::new_cyclic(|me| Self { me: me.clone(), protocol, limits, exchange, state, written })
     }
 
     /// Names the exchange that hears how route steps end.
@@ -161,6 +176,27 @@
         state.pools.retain(|_, p| p.place.state != State::Gone);
     }
 
+    /// Operators take a destination out, or call it back. One that is out gets nothing new from now on, also not what was
+    /// decided before; what it was sent goes on. This must come before the exchange hears of it.
+    pub fn hold(&self, destination: u32, held: bool) {
+        let mut state = locked(&self.state);
+        let Table { pools, held: all, .. } = &mut *state;
+        if held {
+            all.insert(destination);
+        } else {
+            all.remove(&destination);
+        }
+        // What is idle may be from before a restart.
+        if let Some(pool) = pools.get_mut(&destination) {
+            close_idle(pool);
+        }
+    }
+
+    /// Route steps that were written whole.
+    pub fn written(&self) -> u64 {
+        self.written.load(Ordering::Relaxed)
+    }
+
     /// Closes connections that have been idle for long; call it now and then.
     pub fn sweep(&self) {
         let now = Instant::now();
@@ -185,6 +221,9 @@
     fn place_for(&self, step: &RouteStep<P::Query>) -> Option<Carrier<P::Query>> {
         let mut state = locked(&self.state);
         let table = &mut *state;
+        if table.held.contains(&step.destination) {
+            return None;
+        }
         let pool = table.pools.get_mut(&step.destination)?;
         let address = pool.place.address;
         // The one used last that has rested. What has news for nobody speaks out of turn or has ended: its own coroutine
@@ -216,7 +255,8 @@
         let wanted = {
             let mut state = locked(&self.state);
             // A destination that drained or went while the connection was made gets nothing new.
-            let ready = state.pools.get(&step.destination).is_some_and(|p| p.place.state == State::Ready);
+            let ready = state.pools.get(&step.destination).is_some_and(|p| p.place.state == State::Ready)
+                && !state.held.contains(&step.destination);
             let wanted = state.busy.remove(&step.id).is_some();
             match &connection {
                 Ok(connection) if wanted && ready => {
@@ -267,8 +307,9 @@
         self.protocol.write(&step.query, to, time_left, &mut bytes);
         // Held while the bytes go out, so that the reader finds either no job or one that was begun.
         let mut job = locked(&connection.job);
-        connection.link.send(&bytes)?;
-        *job = Some((step.id, step.query.clone()));
+        let written = connection.link.send(&bytes)?;
+        self.written.fetch_add(u64::from(written), Ordering::Relaxed);
+        *job = Some(Job { step: step.id, query: step.query.clone(), written });
         Ok(())
     }
 
@@ -279,7 +320,16 @@
             let incoming = connection.link.receive(&mut buffer, READ);
             let end = !matches!(incoming, Ok(Incoming::Bytes(_) | Incoming::Woken));
             // Without a job nothing was asked: the destination has closed, or speaks out of turn.
-            let Some((id, query)) = locked(&connection.job).clone() else { break };
+            let (id, query) = match &mut *locked(&connection.job) {
+                Some(job) => {
+                    if !job.written && connection.link.unsent() == 0 {
+                        job.written = true;
+                        self.written.fetch_add(1, Ordering::Relaxed);
+                    }
+                    (job.step, job.query.clone())
+                }
+                None => break,
+            };
             let reading =
                 if incoming.is_err() { Reading::More } else { self.protocol.read(&query, &buffer, end) };
             match reading {
@@ -318,9 +368,9 @@
         }
         // Closed before this look, so a step that another thread began here meanwhile is not left without an end.
         let job = locked(&connection.job).take();
-        if let Some((id, _)) = job {
-            locked(&self.state).busy.remove(&id);
-            self.exchange().step_ended(id, StepEnd::plain(outcome));
+        if let Some(job) = job {
+            locked(&self.state).busy.remove(&job.step);
+            self.exchange().step_ended(job.step, StepEnd::plain(outcome));
         }
     }
 
--- a/crates/exchange/src/core.rs
+++ b/crates/exchange/src/core.rs
@@ -2,10 +2,10 @@
 
 use crate::timers::{Due, Timers};
 use crate::{CounterCall, FinalAnswer, Operation, OperationId, Reply, RouteStep, StepEnd, StepId, Why};
-use dewproxy::Gateway;
 use dewproxy::interface::{
     Action, BackendEntry, Event, ListKind, Micros, Outcome, Settings, SettingsError, State,
 };
+use dewproxy::{Gateway, Members};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
 
@@ -33,6 +33,7 @@
     deadline: Micros,
     units: f64,
     account: Option<u32>,
+    class: u16,
     /// The service of its class.
     service: u16,
     steps: Vec<Step>,
@@ -45,6 +46,15 @@
     }
 }
 
+/// How operations have ended, by number of their class, and how many have not.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Ends {
+    /// Operations taken and not yet ended.
+    pub pending: usize,
+    /// For each class those served, refused and failed.
+    pub classes: Vec<[u64; 3]>,
+}
+
 /// Figures for the console.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Status {
@@ -75,6 +85,7 @@
     calls: HashMap<u64, (u64, Micros)>,
     next_call: u64,
     status: Status,
+    ends: Ends,
     pub(crate) effects: VecDeque<Effect<Q, A>>,
     /// Someone is carrying out effects.
     pub(crate) performing: bool,
@@ -89,7 +100,8 @@
     pub(crate) fn new(settings: Settings, seed: u64, now: Micros) -> Result<Self, SettingsError> {
         let (max_attempts, counter_wait, tick) =
             (settings.max_attempts as usize, settings.counter_wait, settings.tick);
-        let services = settings.classes.iter().map(|c| c.service).collect();
+        let services: Vec<u16> = settings.classes.iter().map(|c| c.service).collect();
+        let ends = Ends { pending: 0, classes: vec![[0; 3]; services.len()] };
         Ok(Self {
             services,
             places: HashMap::new(),
@@ -102,6 +114,7 @@
             calls: HashMap::new(),
             next_call: 0,
             status: Status::default(),
+            ends,
             effects: VecDeque::new(),
             performing: false,
             queue: VecDeque::new(),
@@ -122,7 +135,8 @@
         let deadline = now.saturating_add(time_left);
         let (query, reply, steps) = (Arc::new(query), Some(reply), Vec::new());
         let service = self.services.get(usize::from(class)).copied().unwrap_or(0);
-        let entry = Entry { query, reply, deadline, units, account, service, steps, last: None };
+        let entry = Entry { query, reply, deadline, units, account, class, service, steps, last: None };
+        self.ends.pending += 1;
         self.operations.insert(id, entry);
         self.timers.set(deadline, Due::Deadline(id));
         self.feed(now, Event::Request { id, class, plan, customer, time_left, set_size, units, repeat });
@@ -251,13 +265,19 @@
 
     /// Gives the one final answer, if none was given.
     fn answer(&mut self, id: OperationId, answer: FinalAnswer<A>) {
-        let Some(reply) = self.operations.get_mut(&id).and_then(|e| e.reply.take()) else { return };
+        let Some((class, reply)) =
+            self.operations.get_mut(&id).and_then(|e| Some((e.class, e.reply.take()?)))
+        else {
+            return;
+        };
         let kind = match answer {
             FinalAnswer::Served(_) => 0,
             FinalAnswer::Busy { .. } => 1,
             FinalAnswer::Failed(_) => 2,
         };
         self.status.answers[kind] += 1;
+        self.ends.pending -= 1;
+        self.count_end(class, kind);
         // Before the answer goes out: what is not written yet must not be sent on after it.
         let steps = self.operations.get(&id).map_or(&[][..], |e| &e.steps);
         for (attempt, _) in steps.iter().enumerate().filter(|(_, s)| s.open) {
@@ -267,6 +287,21 @@
         self.forget(id);
     }
 
+    fn count_end(&mut self, class: u16, kind: usize) {
+        if let Some(counts) = self.ends.classes.get_mut(usize::from(class)) {
+            counts[kind] += 1;
+        }
+    }
+
+    /// A front refused an operation of this class by itself.
+    pub(crate) fn refused(&mut self, class: u16) {
+        self.count_end(class, 1);
+    }
+
+    pub(crate) fn ends(&self) -> (Ends, Members) {
+        (self.ends.clone(), self.gateway.members())
+    }
+
     /// Why the module gives an operation up now.
     fn why(&self, now: Micros, id: OperationId) -> Why {
         let Some(entry) = self.operations.get(&id) else { return Why::NoRoom };
@@ -287,6 +322,7 @@
     pub(crate) fn left(&mut self, now: Micros, id: OperationId) {
         let Some(entry) = self.operations.get_mut(&id).filter(|e| !e.is_over()) else { return };
         entry.reply = None;
+        self.ends.pending -= 1;
         self.feed(now, Event::Left { id });
         self.end_open_steps(now, id, Outcome::Cancelled);
         self.forget(id);
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -12,7 +12,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
-pub use crate::core::Status;
+pub use crate::core::{Ends, Status};
+pub use dewproxy::Members;
 
 /// The number of an operation at this gatekeeper.
 pub type OperationId = u32;
@@ -231,6 +232,22 @@
         });
     }
 
+    /// Operators take a destination out, or call it back. When this returns, nothing new is decided for one that is out; the
+    /// destination side must have been told before, lest it still carries out what was decided earlier.
+    pub fn hold(&self, destination: u32, held: bool) {
+        self.drive(|core, now| core.feed(now, Event::Held { backend: destination, held }));
+    }
+
+    /// A front has refused an operation of this class by itself.
+    pub fn refused_by_front(&self, class: u16) {
+        self.lock().refused(class);
+    }
+
+    /// How operations have ended, and what the module thinks of the members.
+    pub fn ends(&self) -> (Ends, Members) {
+        self.lock().ends()
+    }
+
     /// Runs the timers that are due and tells how long until it is to be called again, if any timer is set. No timer runs
     /// more than a tick of the module late, and many run together.
     pub fn run_due(&self) -> Option<Micros> {
--- a/crates/front_resp/src/lib.rs
+++ b/crates/front_resp/src/lib.rs
@@ -386,7 +386,10 @@
                 self.answer(socket, turn, format!("-ERR {text}\r\n").into_bytes());
                 return false;
             }
-            Ask::Submit(..) if crowded => self.answer(socket, turn, b"-BUSY\r\n".to_vec()),
+            Ask::Submit(operation, _) if crowded => {
+                self.exchange.refused_by_front(operation.class);
+                self.answer(socket, turn, b"-BUSY\r\n".to_vec());
+            }
             Ask::Submit(operation, open_id) => {
                 locked(&socket.turns).waiting += 1;
                 let (front, place) = (self.clone(), socket.clone());
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -15,6 +15,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators call, if they may.
+    pub operator: Option<SocketAddr>,
     /// The discovery agent.
     pub discovery: SocketAddr,
     /// For random numbers.
@@ -107,6 +109,7 @@
     #[serde(default)]
     limits: FileLimits,
     counter: Option<String>,
+    operator: Option<String>,
     #[serde(default)]
     known: HostList,
     settings: FileSettings,
@@ -290,11 +293,13 @@
     let seed = u64::from_str_radix(&file.seed, 16);
     let seed = seed.map_err(|_| ConfigError(format!("seed: {:?} is no hexadecimal number", file.seed)))?;
     let counter = file.counter.as_deref().map(|text| address("counter", text)).transpose()?;
+    let operator = file.operator.as_deref().map(|text| address("operator", text)).transpose()?;
     let s = file.settings;
     let names = |list: &[FileClass]| list.iter().map(|c| c.name.clone()).collect();
     Ok(Config {
         listen: address("listen", &file.listen)?,
         discovery: address("discovery", &file.discovery)?,
+        operator,
         name: file.name,
         seed,
         sockets: file.limits.sockets,
--- a/crates/snowfield/src/hosts.rs
+++ b/crates/snowfield/src/hosts.rs
@@ -3,7 +3,10 @@
 use destination::Place;
 use dewproxy::interface::{BackendEntry, State};
 use settings::{Config, HostList};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap, HashSet};
+
+/// Destinations that may be out by hand; each is kept until it is called back.
+const MOST_HELD: usize = 4096;
 
 /// Numbers for the ids of destinations, each kept for good: one that restarts is the same.
 #[derive(Debug, Default)]
@@ -11,6 +14,10 @@
     numbers: HashMap<String, u32>,
     zones: Vec<String>,
     kinds: Vec<String>,
+    /// Numbers of those that are on the list now.
+    listed: HashSet<u32>,
+    /// Ids that operators have taken out.
+    held: BTreeSet<String>,
 }
 
 impl Hosts {
@@ -22,6 +29,9 @@
     /// A list as the module and the pools take it. An entry that cannot be used is left out and logged.
     pub fn translate(&mut self, list: HostList) -> (Vec<BackendEntry>, Vec<Place>) {
         let (mut entries, mut places) = (Vec::new(), Vec::new());
+        if list.all {
+            self.listed.clear();
+        }
         for host in list.targets {
             let state = match host.state.as_str() {
                 "up" => State::Ready,
@@ -42,6 +52,11 @@
             };
             let next = self.numbers.len() as u32 + 1;
             let id = *self.numbers.entry(host.uid).or_insert(next);
+            if state == State::Gone {
+                self.listed.remove(&id);
+            } else {
+                self.listed.insert(id);
+            }
             let started = host.boot_ms.saturating_mul(1000);
             places.push(Place { id, address, state, started });
             entries.push(BackendEntry {
@@ -57,6 +72,21 @@
         }
         (entries, places)
     }
+
+    /// Notes that operators take a destination out, or call it back, and tells its number. An id may be named that is on
+    /// the list, or out by hand; nobody else has one. `None` for such an id, or where too many are out.
+    pub fn hold(&mut self, uid: &str, held: bool) -> Option<u32> {
+        let number = self.numbers.get(uid).copied();
+        let known = number.filter(|n| self.listed.contains(n) || self.held.contains(uid))?;
+        if !held {
+            self.held.remove(uid);
+        } else if self.held.len() < MOST_HELD {
+            self.held.insert(uid.to_owned());
+        } else if !self.held.contains(uid) {
+            return None;
+        }
+        Some(known)
+    }
 }
 
 fn position(names: &mut Vec<String>, name: String) -> usize {
--- a/crates/snowfield/src/main.rs
+++ b/crates/snowfield/src/main.rs
@@ -3,6 +3,8 @@
 mod appliance;
 mod clock;
 mod console;
+mod desk;
+mod door;
 mod duties;
 mod fleet;
 mod hosts;
--- a/crates/snowfield/src/platform.rs
+++ b/crates/snowfield/src/platform.rs
@@ -1,5 +1,7 @@
 //! One gatekeeper on the platform: its configuration, the RESP2 front, discovery and the counter.
 
+use crate::desk::Desk;
+use crate::door;
 use crate::hosts::Hosts;
 use crate::signals;
 use counter::CounterClient;
@@ -16,6 +18,8 @@
 /// Descriptors kept for the listener, discovery, the counter with its lanes before and after a reload, the file that is
 /// read at a reload, `may`, the signals and the standard streams.
 const SPARE_SOCKETS: usize = 40;
+/// Descriptors of the operators' door, where there is one.
+const DOOR_SOCKETS: usize = door::MOST_CALLERS + 2;
 
 /// Reads the configuration, serves until a signal, and answers what was taken.
 ///
@@ -26,16 +30,23 @@
     // Before all else: SIGHUP must not end the program, however early it comes.
     let caught = signals::catch()?;
     let path = std::env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG names no configuration file")?;
-    let config = read(&path)?;
+    let mut config = read(&path)?;
+    if let Ok(at) = std::env::var("BALANCER_OPERATOR") {
+        let at = at.parse().map_err(|_| format!("BALANCER_OPERATOR: {at:?} is no address and port"))?;
+        config.operator = Some(at);
+    }
     link::set_up();
     let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
-    let Parts { front, door, watch, counter } = start(config)?;
+    let Parts { front, door, watch, counter, desk } = start(config)?;
     signals::serve_until(
         caught,
         &door,
         Duration::from_micros(longest),
-        || reload(&path, &watch, counter.as_deref()),
-        || front.close(),
+        || desk.reloaded(reload(&path, &watch, counter.as_deref())),
+        || {
+            desk.set_ending();
+            front.close();
+        },
         || front.open(),
     );
     Ok(())
@@ -48,10 +59,13 @@
 
 /// Takes the addresses of discovery and the counter from the file as it is now. Runs on a thread of its own, with room
 /// for reading JSON, while the worker serves on.
-fn reload(path: &str, watch: &Watch, counter: Option<&CounterClient>) {
+fn reload(path: &str, watch: &Watch, counter: Option<&CounterClient>) -> bool {
     let config = match read(path) {
         Ok(config) => config,
-        Err(text) => return println!("reload: {text}; the old settings stay"),
+        Err(text) => {
+            println!("reload: {text}; the old settings stay");
+            return false;
+        }
     };
     let discovery = if watch.move_to(config.discovery) { "moved to" } else { "stays at" };
     println!("reload: discovery {discovery} {}", config.discovery);
@@ -64,6 +78,7 @@
         (Some(_), None) => println!("reload: the file names no counter any more; the old one stays"),
         (None, Some(at)) => println!("reload: a counter at {at} is used only after a restart"),
     }
+    true
 }
 
 /// What the settings ask of a request.
@@ -88,11 +103,13 @@
     door: Arc<Door>,
     watch: Arc<Watch>,
     counter: Option<Arc<CounterClient>>,
+    desk: Arc<Desk>,
 }
 
 fn start(config: Config) -> Result<Parts, String> {
     let clock = Clock::start();
-    let sockets = config.sockets.saturating_sub(SPARE_SOCKETS).max(16);
+    let spare = SPARE_SOCKETS + config.operator.map_or(0, |_| DOOR_SOCKETS);
+    let sockets = config.sockets.saturating_sub(spare).max(16);
     let limits = Limits {
         connect: Duration::from_micros(config.settings.connect_timeout),
         idle: Duration::from_micros(config.keepalive / 2),
@@ -109,6 +126,11 @@
     exchange.connect(pools.clone(), calls);
 
     let hosts = Arc::new(Mutex::new(Hosts::new(&config)));
+    let desk = Arc::new(Desk::new(exchange.clone(), pools.clone(), hosts.clone(), config.classes.clone()));
+    if let Some(at) = config.operator {
+        let at = door::open(at, desk.clone()).map_err(|e| format!("operator {at}: {e}"))?;
+        println!("{}: operators are answered on {at}", config.name);
+    }
     let rev = config.known.rev;
     let (entries, places) = link::locked(&hosts).translate(config.known);
     println!("{}: {} destinations known, version {rev}", config.name, places.len());
@@ -143,8 +165,9 @@
     let door = Door::open(config.listen).map_err(|e| format!("{}: {e}", config.listen))?;
     let door = Arc::new(door);
     front.set_ready();
+    desk.set_ready();
     println!("{}: serving on {}", config.name, door.address().map_err(|e| e.to_string())?);
     let (accepting, entrance) = (front.clone(), door.clone());
     spawn(move || accepting.run(&entrance));
-    Ok(Parts { front, door, watch, counter })
+    Ok(Parts { front, door, watch, counter, desk })
 }
--- a/crates/snowfield/tests/common/mod.rs
+++ b/crates/snowfield/tests/common/mod.rs
@@ -1,6 +1,9 @@
 //! The program under test and stand-ins for what it speaks to. Everything is synchronised by messages, never by sleep.
-#![allow(dead_code)]
+#![allow(dead_code, unused_imports)]
 
+mod site;
+
+pub use site::*;
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
--- a/src/control.rs
+++ b/src/control.rs
@@ -1,11 +1,12 @@
 //! Every decision of a gateway. Its types, events and actions are in `src/interface.rs`.
 //!
 //! Read top-down: constants, state, events, admission and ceiling, bucket and counter, surcharge, choice of
-//! backend, health, attempts, timers. No clock, thread, I/O or global: the same events give the same actions.
+//! backend, health, holds by hand, attempts, timers. No clock, thread, I/O or global: the same events give
+//! the same actions.
 
 use crate::interface::*;
-use crate::p2::P2;
-use crate::state::{Attempt, Backend, Counter, Customer, Fleet, Health, Kind, Request, Trend, mix};
+use crate::state::{Attempt, Backend, Counter, Customer, Fleet, Health, Kind, Request, mix};
+use crate::trend::Trend;
 use std::collections::{BTreeMap, BTreeSet};
 
 const SECOND: f64 = 1e6;
@@ -32,14 +33,6 @@
 const DOUBT: f64 = 2.0;
 /// Units too few to tell: totals come to seven digits.
 const DUST: f64 = 1e-3;
-/// The quantile of both latency estimates (the design).
-const QUANTILE: f64 = 0.95;
-/// Samples and us that make a short-term estimate; samples that make the long-term one warm.
-const SHORT_SAMPLES: u64 = 20;
-const SHORT_SPAN: Micros = 1_000_000;
-/// us; how long a short-term estimate counts: a gateway may see but a few answers a second.
-const SHORT_KEPT: Micros = 10_000_000;
-const LONG_WARM: u64 = 100;
 /// Long-term p95 over short-term p95 below which the lowest class pays more (the design).
 const RATIO_FLOOR: f64 = 0.3;
 /// Mean latency in parts of the aim: below the first a backend may hold more, above the second less.
@@ -91,6 +84,10 @@
 /// Part of a key's life left for the journey of a repeat.
 const KEY_MARGIN: f64 = 0.15;
 
+#[path = "members.rs"]
+mod members;
+pub use members::Members;
+
 type Actions = Vec<Action>;
 
 const TOKEN_TICK: u64 = 0;
@@ -120,6 +117,8 @@
     fleet: Fleet,
     serving: u16,
     fleets: Vec<Fleet>,
+    /// Backends that operators have taken out, on the list or not.
+    held: BTreeSet<u32>,
 }
 
 impl Gateway {
@@ -165,6 +164,7 @@
             fleet: fleet(),
             serving: 0,
             fleets: (0..=services).map(|_| fleet()).collect(),
+            held: BTreeSet::new(),
             ticking: false,
             s: settings,
         })
@@ -180,6 +180,7 @@
         match event {
             Event::Backends { kind: ListKind::Failed, .. } => self.next_ask = self.now + SECOND as Micros,
             Event::Backends { kind, entries } => self.on_list(kind, entries),
+            Event::Held { backend, held } => self.on_hold(backend, held),
             Event::Request { id, class, plan, customer, time_left, set_size, units, .. } => {
                 let guess = if units.is_finite() && units > 0.0 { units } else { self.s.largest };
                 let most = f64::from(self.s.gateways);
@@ -638,10 +639,11 @@
 
     /// The share of its capacity that a backend surely has: the slowest legal warm-up.
     fn warmth(&self, b: &Backend) -> f64 {
-        if b.entry.started == 0 || self.s.cold_span == 0 {
+        let started = b.entry.started.max(b.back);
+        if started == 0 || self.s.cold_span == 0 {
             return 1.0;
         }
-        let age = self.now.saturating_sub(b.entry.started) as f64 / self.s.cold_span as f64;
+        let age = self.now.saturating_sub(started) as f64 / self.s.cold_span as f64;
         (self.s.cold_share + (1.0 - self.s.cold_share) * age).min(1.0)
     }
 
@@ -669,7 +671,7 @@
             match self.backends.get_mut(&entry.id) {
                 Some(b) if b.entry.started == entry.started => b.entry = entry,
                 // Started anew: cold, and nothing learnt of it holds.
-                Some(b) => *b = Backend { out: b.out, ..fresh },
+                Some(b) => *b = Backend { out: b.out, back: b.back, ..fresh },
                 None if entry.state == State::Gone => {}
                 None => {
                     self.backends.insert(entry.id, fresh);
@@ -679,9 +681,7 @@
         self.backends.retain(|_, b| b.entry.state != State::Gone || b.out > 0);
         for service in 0..self.fleets.len() as u16 {
             self.turn_to(service);
-            let here = |b: &Backend| b.entry.state == State::Ready && b.entry.service == service;
-            let ready = self.backends.iter().filter(|(_, b)| here(b));
-            self.fleet.ready = ready.map(|(&id, _)| id).collect();
+            self.fleet.ready = self.ready_backends().map(|b| b.entry.id).collect();
             let me = mix(u64::from(self.s.me));
             self.fleet.ready.sort_by_key(|&id| mix(me ^ u64::from(id)));
             let part = self.fleet.ready.len() as f64 * (SHARERS / f64::from(self.s.gateways)).min(1.0);
@@ -693,6 +693,16 @@
         }
     }
 
+    /// Operators take a backend out, or call it back: then it may have restarted unseen, and counts as cold.
+    fn on_hold(&mut self, backend: u32, held: bool) {
+        let changed = if held { self.held.insert(backend) } else { self.held.remove(&backend) };
+        if let Some(b) = self.backends.get_mut(&backend).filter(|_| changed && !held) {
+            let fresh = Backend::new(b.entry.clone(), self.now, self.s.classes.len());
+            *b = Backend { out: b.out, back: self.now, cold_right: self.rng.f64(), ..fresh };
+        }
+        self.on_list(ListKind::Changes, Vec::new());
+    }
+
     /// Its even part of the places at all backends, and with chance on top: with many its traffic is uneven.
     fn places(&self) -> (f64, f64) {
         let trust = TRUST / f64::from(self.s.gateways);
@@ -701,8 +711,9 @@
     }
 
     fn ready_backends(&self) -> impl Iterator<Item = &Backend> {
-        let here = |b: &&Backend| b.entry.state == State::Ready && b.entry.service == self.serving;
-        self.backends.values().filter(here)
+        let held = |b: &Backend| self.held.contains(&b.entry.id);
+        let here = move |b: &&Backend| b.entry.service == self.serving && !held(b);
+        self.backends.values().filter(|b| b.entry.state == State::Ready).filter(here)
     }
 
     /// A backend that swallows work is found by the age of what is out there with no answer since: of any
@@ -770,7 +781,7 @@
         self.fleet.latency += 0.05 * (elapsed as f64 - self.fleet.latency);
         let kind = &mut self.kinds[class];
         let relative = (elapsed as f64 / kind.mean).clamp(0.05, WORST);
-        let calm = self.trend.add(relative, self.fleet.part < EARLY_PART, now);
+        let calm = self.trend.add(relative, self.fleet.part < EARLY_PART, 2.0 * RATIO_FLOOR, now);
         if outcome == Outcome::Ok {
             kind.mean += if calm { 0.02 * (elapsed as f64 - kind.mean) } else { 0.0 };
             self.fleet.answers += 1;
@@ -1024,50 +1035,6 @@
     }
 }
 
-impl Backend {
-    fn new(entry: BackendEntry, now: Micros, classes: usize) -> Self {
-        let health = vec![Health { answered: now, sick: None }; classes];
-        Self { entry, slow: 1.0, health, answered: now, learned: now, ..Backend::default() }
-    }
-
-    /// Its size against the others', in bounds: what is no size must not take all work, or none for good.
-    fn size(&self) -> f64 {
-        if self.entry.size.is_finite() { self.entry.size.clamp(0.05, 20.0) } else { 1.0 }
-    }
-
-    /// The time of the next trial where it is thought to lose work of this class.
-    fn sickness(&self, class: usize) -> Option<Micros> {
-        self.health.get(class).and_then(|h| h.sick)
-    }
-}
-
-impl Trend {
-    fn new(now: Micros) -> Self {
-        Self { short: P2::new(QUANTILE), short_since: now, short_value: None, long: P2::new(QUANTILE) }
-    }
-
-    /// Takes in a sample; tells whether it feeds the long-term estimate. A lasting slowdown must not become
-    /// the new normal, unless its answers still come early.
-    fn add(&mut self, sample: f64, early: bool, now: Micros) -> bool {
-        self.short.add(sample);
-        if self.short.count() >= SHORT_SAMPLES && now >= self.short_since + SHORT_SPAN {
-            self.short_value = self.short.value().map(|value| (value, now));
-            (self.short, self.short_since) = (P2::new(QUANTILE), now);
-        }
-        if !early && self.ratio(now).is_some_and(|r| r < 2.0 * RATIO_FLOOR) {
-            return false;
-        }
-        self.long.add(sample);
-        true
-    }
-
-    fn ratio(&self, now: Micros) -> Option<f64> {
-        let (short, at) = self.short_value?;
-        let long = self.long.value().filter(|_| self.long.count() >= LONG_WARM)?;
-        (now < at + SHORT_KEPT && short > 0.0).then(|| (long / short).min(1.0))
-    }
-}
-
 /// Counter calls that one gateway may save up.
 fn saved_calls(s: &Settings) -> f64 {
     (s.counter_wait as f64 / CALL_EVERY / f64::from(s.gateways)).clamp(CALLS_AT_ONCE.0, CALLS_AT_ONCE.1)
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -391,6 +391,13 @@
         /// Its entries.
         entries: Vec<BackendEntry>,
     },
+    /// Operators take a backend out by hand, or call it back.
+    Held {
+        /// The backend, on the list or not.
+        backend: u32,
+        /// It is out.
+        held: bool,
+    },
     /// A client's request came in.
     Request {
         /// Id of this try.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod interface;
 pub mod p2;
 mod state;
+mod trend;
 
-pub use control::Gateway;
+pub use control::{Gateway, Members};
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,6 @@
 //! What a gateway remembers: plain data, no decision. `control.rs` alone reads and changes it.
 
 use crate::interface::{BackendEntry, Micros, Outcome};
-use crate::p2::P2;
 use std::collections::BTreeMap;
 
 /// One customer's store as this gateway knows it.
@@ -68,11 +67,30 @@
     pub(crate) cold_right: f64,
     /// Sends lately, where work goes by size.
     pub(crate) sent: f64,
+    /// When operators called it back: it may have restarted while it was out.
+    pub(crate) back: Micros,
     /// Until when nothing is sent since no connection was to be had, and the last pause.
     pub(crate) shut: Micros,
     pub(crate) shut_pause: Micros,
 }
 
+impl Backend {
+    pub(crate) fn new(entry: BackendEntry, now: Micros, classes: usize) -> Self {
+        let health = vec![Health { answered: now, sick: None }; classes];
+        Self { entry, slow: 1.0, health, answered: now, learned: now, ..Backend::default() }
+    }
+
+    /// Its size against the others', in bounds: what is no size must not take all work, or none for good.
+    pub(crate) fn size(&self) -> f64 {
+        if self.entry.size.is_finite() { self.entry.size.clamp(0.05, 20.0) } else { 1.0 }
+    }
+
+    /// The time of the next trial where it is thought to lose work of this class.
+    pub(crate) fn sickness(&self, class: usize) -> Option<Micros> {
+        self.health.get(class).and_then(|h| h.sick)
+    }
+}
+
 /// How one class fares at one backend.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Health {
@@ -106,15 +124,6 @@
     pub(crate) settled: bool,
 }
 
-/// Short- and long-term p95 of latency.
-#[derive(Debug)]
-pub(crate) struct Trend {
-    pub(crate) short: P2,
-    pub(crate) short_since: Micros,
-    pub(crate) short_value: Option<(f64, Micros)>,
-    pub(crate) long: P2,
-}
-
 /// Mean latency of one class in us, and its largest settled request.
 #[derive(Debug)]
 pub(crate) struct Kind {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -867,3 +867,48 @@
         );
     }
 }
+
+/// Guards the ban of operators: it holds whatever the list says, and what is called back counts as cold.
+#[test]
+fn a_backend_that_is_held_gets_nothing_until_it_is_called_back() {
+    let settings = Settings { cold_share: 0.2, cold_span: 10 * SECOND, fall_span: SECOND, ..settings() };
+    let mut bench = Bench::start(settings, &backends(2), 100 * SECOND);
+    let hold = |held| Event::Held { backend: 1, held };
+    bench.feed(hold(true));
+    bench.feed(hold(true));
+    let restarted = BackendEntry { id: 1, started: 99 * SECOND, ..BackendEntry::default() };
+    for entries in
+        [backends(2), vec![BackendEntry { state: State::Gone, ..backends(1)[0].clone() }], vec![restarted]]
+    {
+        bench.feed(Event::Backends { kind: ListKind::Changes, entries });
+        for id in 0..4 {
+            let id = id + bench.now as u32;
+            let sent = sends(&bench.request(id, 0, 0.1));
+            assert_eq!(sent, [2]);
+            bench.end(id, 0, 2, Outcome::Ok);
+            bench.now += SECOND;
+        }
+    }
+    let members = bench.gateway.members();
+    assert_eq!((members.listed, members.avoided), (2, 1));
+    bench.feed(hold(false));
+    assert_eq!(bench.gateway.members().avoided, 0, "one call back answers two calls out");
+    // Its list still says that it has run for long. Were it thought warm, it would have half of all at once.
+    bench.feed(Event::Backends { kind: ListKind::Full, entries: backends(2) });
+    // With one always out at the other, a warm one would be the better choice.
+    assert_eq!(sends(&bench.request(1, 0, 0.1)), [2]);
+    let mut to = |times: u32| {
+        let sent = (0..times).flat_map(|_| {
+            let id = 10_000 + bench.now as u32;
+            let until = bench.now + 20 * MS;
+            bench.tick_until(until);
+            let sent = sends(&bench.request(id, 0, 0.01));
+            sent.iter().for_each(|&b| drop(bench.end(id, 0, b, Outcome::Ok)));
+            sent
+        });
+        sent.filter(|&b| b == 1).count()
+    };
+    let (at_first, later) = (to(50), to(500));
+    assert!(at_first <= 15, "it counts as cold: {at_first} of 50");
+    assert!(later > 0, "and it is used again");
+}
