--- a/crates/destination/src/lib.rs
+++ b/crates/destination/src/lib.rs
@@ -103,6 +103,8 @@
     open: usize,
     /// Destinations that operators have taken out, listed or not: they get nothing new.
     held: HashSet<u32>,
+    /// Another program takes this one's place: no connection is kept.
+    retired: bool,
 }
 
 struct Pool<Q> {
@@ -136,8 +138,8 @@
 impl<P: Protocol> Pools<P> {
     /// Pools that know no destination yet.
     pub fn new(protocol: P, limits: Limits) -> Arc<Self> {
-        let state =
-            Mutex::new(Table { pools: HashMap::new(), busy: HashMap::new(), open: 0, held: HashSet::new() });
+        let (pools, busy, held) = Default::default();
+        let state = Mutex::new(Table { pools, busy, open: 0, held, retired: false });
         let (exchange, written) = (OnceLock::new(), AtomicU64::new(0));
         Arc::new_cyclic(|me| Self { me: me.clone(), protocol, limits, exchange, state, written })
     }
@@ -192,6 +194,13 @@
         }
     }
 
+    /// Keeps no connection that carries nothing, while another program takes this one's place, or keeps them again.
+    pub fn retire(&self, retired: bool) {
+        let mut state = locked(&self.state);
+        state.retired = retired;
+        state.pools.values_mut().filter(|_| retired).for_each(close_idle);
+    }
+
     /// Route steps that were written whole.
     pub fn written(&self) -> u64 {
         self.written.load(Ordering::Relaxed)
@@ -378,7 +387,8 @@
         let mut state = locked(&self.state);
         let fits =
             |p: &&mut Pool<P::Query>| p.place.state == State::Ready && p.place.address == connection.to;
-        match state.pools.get_mut(&destination).filter(fits) {
+        let retired = state.retired;
+        match state.pools.get_mut(&destination).filter(fits).filter(|_| !retired) {
             Some(pool) => pool.idle.push((connection.clone(), Instant::now())),
             None => connection.link.close(),
         }
--- a/crates/exchange/src/core.rs
+++ b/crates/exchange/src/core.rs
@@ -298,6 +298,10 @@
         self.count_end(class, 1);
     }
 
+    pub(crate) fn gateway(&mut self) -> &mut Gateway {
+        &mut self.gateway
+    }
+
     pub(crate) fn ends(&self) -> (Ends, Members) {
         (self.ends.clone(), self.gateway.members())
     }
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -13,7 +13,7 @@
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 pub use crate::core::{Ends, Status};
-pub use dewproxy::Members;
+pub use dewproxy::{Carried, Members};
 
 /// The number of an operation at this gatekeeper.
 pub type OperationId = u32;
@@ -238,6 +238,21 @@
         self.drive(|core, now| core.feed(now, Event::Held { backend: destination, held }));
     }
 
+    /// Gives what the module knows to the program that takes this one's place. Fronts must let nothing in any more.
+    pub fn hand_over(&self) -> Carried {
+        self.lock().gateway().hand_over()
+    }
+
+    /// Takes the place of the program that gave this away.
+    pub fn take_over(&self, carried: Carried) {
+        self.lock().gateway().take_over(carried);
+    }
+
+    /// Goes on after all: the program that was to take this one's place has ended.
+    pub fn take_back(&self) {
+        self.lock().gateway().take_back();
+    }
+
     /// A front has refused an operation of this class by itself.
     pub fn refused_by_front(&self, class: u16) {
         self.lock().refused(class);
--- a/crates/front_resp/src/lib.rs
+++ b/crates/front_resp/src/lib.rs
@@ -10,6 +10,7 @@
 use link::{Door, Incoming, Link, locked, sleep, spawn};
 use resp::{Malformed, Query};
 use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -49,11 +50,17 @@
     most: Box<dyn Fn() -> usize + Send + Sync>,
     ready: AtomicBool,
     closing: AtomicBool,
+    /// Where front sockets go on once they are between requests, while nothing is let in here.
+    heir: Mutex<Option<Arc<Heir>>>,
+    frozen: AtomicBool,
     sockets: Mutex<Table>,
     /// Ids of the requests that are open here.
     open_ids: Mutex<HashSet<Vec<u8>>>,
 }
 
+/// Takes a client's connection, with what was read of a request that is not whole, to another process.
+pub type Heir = dyn Fn(TcpStream, Vec<u8>) + Send + Sync;
+
 /// Open front sockets by the order in which they came.
 #[derive(Default)]
 struct Table {
@@ -150,6 +157,8 @@
 enum End {
     /// It is between requests.
     Quiet,
+    /// Another process goes on with it.
+    PassedOn,
     /// This error comes first, in its turn.
     Error(&'static str),
 }
@@ -161,10 +170,10 @@
         rules: Rules,
         most: impl Fn() -> usize + Send + Sync + 'static,
     ) -> Arc<Self> {
-        let (ready, closing) = (AtomicBool::new(false), AtomicBool::new(false));
+        let (ready, closing, frozen) = Default::default();
         let most = Box::new(most);
-        let (sockets, open_ids) = (Mutex::default(), Mutex::default());
-        Arc::new(Self { exchange, rules, most, ready, closing, sockets, open_ids })
+        let (sockets, open_ids, heir) = Default::default();
+        Arc::new(Self { exchange, rules, most, ready, closing, heir, frozen, sockets, open_ids })
     }
 
     /// From now on `PING` is answered.
@@ -181,30 +190,61 @@
                 self.make_room(1);
                 sleep(LOOK);
             }
-            let socket = FrontSocket::new(link);
-            let number = {
-                let mut sockets = locked(&self.sockets);
-                sockets.next += 1;
-                let number = sockets.next;
-                sockets.open.insert(number, socket.clone());
-                number
-            };
-            let front = self.clone();
-            spawn(move || {
-                front.serve(&socket);
-                locked(&front.sockets).open.remove(&number);
-            });
+            self.admit(link, Vec::new());
         }
     }
 
-    /// Closes every front socket as soon as it is between requests.
-    pub fn close(&self) {
-        self.closing.store(true, Ordering::Release);
+    /// Goes on with a connection that another process has served: it has brought requests, and maybe begun one.
+    pub fn adopt(self: &Arc<Self>, link: Link, begun: Vec<u8>) {
+        let socket = self.admit(link, begun);
+        let mut turns = locked(&socket.turns);
+        (turns.spoken, turns.used) = (true, true);
+    }
+
+    fn admit(self: &Arc<Self>, link: Link, begun: Vec<u8>) -> Arc<FrontSocket> {
+        let socket = FrontSocket::new(link);
+        let number = {
+            let mut sockets = locked(&self.sockets);
+            sockets.next += 1;
+            let number = sockets.next;
+            sockets.open.insert(number, socket.clone());
+            number
+        };
+        let (front, served) = (self.clone(), socket.clone());
+        spawn(move || {
+            front.serve(&served, begun);
+            locked(&front.sockets).open.remove(&number);
+        });
+        socket
+    }
+
+    /// Lets nothing in from now on, and passes each front socket on once it is between requests. Called on the worker, no
+    /// request is half taken when it returns.
+    pub fn pass_on(&self, heir: Arc<Heir>) {
+        *locked(&self.heir) = Some(heir);
+        self.frozen.store(true, Ordering::Release);
+        self.wake_all();
+    }
+
+    /// Reads on where [`Front::pass_on`] has stopped: there is nobody to pass to any more.
+    pub fn go_on(&self) {
+        self.frozen.store(false, Ordering::Release);
+        *locked(&self.heir) = None;
+        self.wake_all();
+    }
+
+    fn wake_all(&self) {
         for socket in self.open_sockets() {
             socket.link.wake();
         }
     }
 
+    /// Closes every front socket as soon as it is between requests.
+    pub fn close(&self) {
+        self.closing.store(true, Ordering::Release);
+        self.wake_all();
+    }
+
     /// Front sockets that are open.
     pub fn open(&self) -> usize {
         self.open_sockets().len()
@@ -263,9 +303,11 @@
     }
 
     /// Reads commands until the client leaves or cannot be understood.
-    fn serve(self: &Arc<Self>, socket: &Arc<FrontSocket>) {
-        if let Some(text) = self.read(socket) {
-            self.end(socket, text);
+    fn serve(self: &Arc<Self>, socket: &Arc<FrontSocket>, begun: Vec<u8>) {
+        match self.read(socket, begun) {
+            End::Error(text) => self.end(socket, text),
+            End::PassedOn => return,
+            End::Quiet => {}
         }
         socket.link.close();
         let waiting: Vec<OperationId> = {
@@ -275,22 +317,15 @@
         waiting.into_iter().for_each(|id| self.exchange.left(id));
     }
 
-    /// Reads and takes commands; returns the error with which the socket ends, if it ends with one.
-    fn read(self: &Arc<Self>, socket: &Arc<FrontSocket>) -> Option<&'static str> {
-        let mut buffer = Vec::new();
+    /// Reads and takes commands, `begun` first; returns how the socket ends.
+    fn read(self: &Arc<Self>, socket: &Arc<FrontSocket>, begun: Vec<u8>) -> End {
+        let mut buffer = begun;
         loop {
-            match socket.link.receive(&mut buffer, READ) {
-                Ok(Incoming::Bytes(_)) => {}
-                // Only here, where nothing is left to read, is it sure that no request has come in unseen.
-                Ok(Incoming::Woken) => match self.look(socket) {
-                    None => continue,
-                    Some(End::Quiet) => return None,
-                    Some(End::Error(text)) => return Some(text),
-                },
-                Ok(Incoming::End) | Err(_) => return None,
+            if self.frozen.load(Ordering::Acquire) && self.hand_on(socket, &mut buffer) {
+                return End::PassedOn;
             }
             let (mut at, mut errors) = (0, false);
-            loop {
+            while !self.frozen.load(Ordering::Acquire) {
                 match resp::command(&buffer, at) {
                     Ok(Some(command)) => {
                         let words: Vec<_> = command.words.iter().map(|w| w.start - at..w.end - at).collect();
@@ -299,7 +334,7 @@
                     }
                     Ok(None) => break,
                     // What follows cannot be told apart any more.
-                    Err(Malformed(text)) => return Some(text),
+                    Err(Malformed(text)) => return End::Error(text),
                 }
             }
             buffer.drain(..at);
@@ -311,12 +346,43 @@
                 let since = turns.partial.filter(|_| at == 0).unwrap_or_else(Instant::now);
                 turns.partial = (!buffer.is_empty()).then_some(since);
                 if turns.turns.len() > MOST_TURNS {
-                    return Some("too many commands at once");
+                    return End::Error("too many commands at once");
                 }
             }
             if errors {
                 sleep(PENALTY);
             }
+            loop {
+                match socket.link.receive(&mut buffer, READ) {
+                    Ok(Incoming::Bytes(_)) => break,
+                    Ok(Incoming::Woken) if self.frozen.load(Ordering::Acquire) => break,
+                    // Only here, where nothing is left to read, is it sure that no request has come in unseen.
+                    Ok(Incoming::Woken) => {
+                        if let Some(end) = self.look(socket) {
+                            return end;
+                        }
+                    }
+                    Ok(Incoming::End) | Err(_) => return End::Quiet,
+                }
+            }
+        }
+    }
+
+    /// Waits until all that was taken here has its answer, then passes the connection on. What a client sends meanwhile stays
+    /// unread for whoever goes on. Tells whether it is passed on; it is not where the front reads on, or the client left.
+    fn hand_on(&self, socket: &FrontSocket, buffer: &mut Vec<u8>) -> bool {
+        loop {
+            let heir = locked(&self.heir).clone();
+            let Some(heir) = heir else { return false };
+            if locked(&socket.turns).turns.is_empty() && socket.link.unsent() == 0 {
+                let Ok(handle) = socket.link.handle() else { return false };
+                heir(handle, std::mem::take(buffer));
+                socket.link.let_go();
+                return true;
+            }
+            if socket.link.rest().is_err() {
+                return false;
+            }
         }
     }
 
@@ -432,7 +498,7 @@
         }
         // Sent before the turns are free, so that no later answer overtakes.
         let sent = socket.link.send(&whole);
-        let mut waits_for_this = self.closing.load(Ordering::Acquire);
+        let mut waits_for_this = self.closing.load(Ordering::Acquire) || self.frozen.load(Ordering::Acquire);
         if turns.turns.is_empty() {
             turns.idle = Instant::now();
             waits_for_this |= turns.ending;
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -7,11 +7,13 @@
 
 pub use alarm::sleep;
 use may::coroutine::{Builder, JoinHandle};
-use may::io::WaitIo;
-use may::net::{TcpListener, TcpStream};
+use may::io::{CoIo, WaitIo, WaitIoWaker};
+use may::net::TcpStream;
+use socket2::{Domain, SockRef, Socket, Type};
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::{Shutdown, SocketAddr};
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::net::{self, Shutdown, SocketAddr, TcpListener};
+use std::os::fd::{AsFd, AsRawFd, BorrowedFd};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU32, Ordering};
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -66,10 +68,66 @@
     })
 }
 
+/// A socket that was accepted or given, under `may`'s watch.
+#[derive(Debug)]
+struct Watched<T: AsRawFd>(Option<CoIo<T>>);
+
+impl<T: AsRawFd> Watched<T> {
+    fn new(socket: T) -> io::Result<Self> {
+        CoIo::new(socket).map(|io| Self(Some(io))).map_err(|e| io::Error::other(e.to_string()))
+    }
+
+    fn io(&self) -> &CoIo<T> {
+        self.0.as_ref().expect("taken only when dropped")
+    }
+}
+
+impl<T: AsRawFd> Drop for Watched<T> {
+    /// `CoIo` closes its socket before it ends the watch. Where another process holds the socket too, the system would go on
+    /// telling of it by a memory that is free; taken out of it, the socket is closed last.
+    fn drop(&mut self) {
+        drop(self.0.take().map(CoIo::into_inner));
+    }
+}
+
+/// A connection that was made here, or one that was accepted.
+#[derive(Debug)]
+enum Stream {
+    Made(TcpStream),
+    Taken(Watched<net::TcpStream>),
+}
+
+impl Stream {
+    fn inner(&self) -> &net::TcpStream {
+        match self {
+            Self::Made(stream) => stream.inner(),
+            Self::Taken(stream) => stream.io().inner(),
+        }
+    }
+
+    fn wait_io(&self) {
+        match self {
+            Self::Made(stream) => stream.wait_io(),
+            Self::Taken(stream) => stream.io().wait_io(),
+        };
+    }
+
+    fn waker(&self) -> WaitIoWaker {
+        match self {
+            Self::Made(stream) => stream.waker(),
+            Self::Taken(stream) => stream.io().waker(),
+        }
+    }
+
+    fn shutdown(&self, how: Shutdown) -> io::Result<()> {
+        self.inner().shutdown(how)
+    }
+}
+
 /// A TCP connection that one coroutine waits on and any may write to.
 #[derive(Debug)]
 pub struct Link {
-    stream: TcpStream,
+    stream: Stream,
     out: Mutex<Outgoing>,
     closed: AtomicBool,
     woken: AtomicBool,
@@ -103,13 +161,21 @@
     /// Passes on what the system says.
     pub fn connect(to: SocketAddr, timeout: Duration) -> io::Result<Self> {
         let stream = TcpStream::connect_timeout(&to, timeout)?;
-        Ok(Self::new(stream))
+        Ok(Self::of(Stream::Made(stream)))
     }
 
     /// Takes over an open connection.
-    pub fn new(stream: TcpStream) -> Self {
+    ///
+    /// # Errors
+    ///
+    /// The system cannot watch it.
+    pub fn new(stream: net::TcpStream) -> io::Result<Self> {
+        Watched::new(stream).map(|stream| Self::of(Stream::Taken(stream)))
+    }
+
+    fn of(stream: Stream) -> Self {
         // Without it small answers wait for acknowledgements; where it fails they do, and nothing else is lost.
-        let _ = stream.set_nodelay(true);
+        let _ = stream.inner().set_nodelay(true);
         let (closed, woken) = (AtomicBool::new(false), AtomicBool::new(false));
         Self { stream, out: Mutex::default(), closed, woken, streak: AtomicU32::new(0) }
     }
@@ -276,7 +342,21 @@
         }
     }
 
-    /// Whether [`Link::close`] was called.
+    /// A second handle on the connection, to be passed to another process.
+    ///
+    /// # Errors
+    ///
+    /// Passes on what the system says.
+    pub fn handle(&self) -> io::Result<net::TcpStream> {
+        self.stream.inner().try_clone()
+    }
+
+    /// Lets go of the connection without ending it: another process goes on with it.
+    pub fn let_go(&self) {
+        self.closed.store(true, Ordering::Release);
+    }
+
+    /// Whether [`Link::close`] or [`Link::let_go`] was called.
     pub fn is_closed(&self) -> bool {
         self.closed.load(Ordering::Acquire)
     }
@@ -285,19 +365,43 @@
 /// A listener whose accept loop can be ended from outside.
 #[derive(Debug)]
 pub struct Door {
-    listener: TcpListener,
+    listener: Watched<TcpListener>,
+    state: AtomicU8,
     /// Connections accepted since the last look at the clock, and when that was.
     streak: Mutex<(u32, Instant)>,
 }
 
+/// What the accept loop of a [`Door`] does.
+const OPEN: u8 = 0;
+const HELD: u8 = 1;
+const SHUT: u8 = 2;
+const LEFT: u8 = 3;
+/// Connections that may wait to be accepted: hundreds come at once when another gatekeeper has gone.
+const BACKLOG: i32 = 1024;
+
 impl Door {
-    /// Listens on this address only.
+    /// Listens on this address only. Another process may listen there too.
     ///
     /// # Errors
     ///
     /// Passes on what the system says.
     pub fn open(at: SocketAddr) -> io::Result<Self> {
-        Ok(Self { listener: TcpListener::bind(at)?, streak: Mutex::new((0, Instant::now())) })
+        let socket = Socket::new(Domain::for_address(at), Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.set_reuse_port(true)?;
+        socket.bind(&at.into())?;
+        socket.listen(BACKLOG)?;
+        Self::given(socket.into())
+    }
+
+    /// Accepts on a listener that another process has opened.
+    ///
+    /// # Errors
+    ///
+    /// The system cannot watch it.
+    pub fn given(listener: TcpListener) -> io::Result<Self> {
+        let listener = Watched::new(listener)?;
+        Ok(Self { listener, state: AtomicU8::new(OPEN), streak: Mutex::new((0, Instant::now())) })
     }
 
     /// The address that it listens on.
@@ -306,10 +410,15 @@
     ///
     /// Passes on what the system says.
     pub fn address(&self) -> io::Result<SocketAddr> {
-        self.listener.local_addr()
+        self.listener.io().inner().local_addr()
+    }
+
+    /// The listener itself, to be passed to another process.
+    pub fn listener(&self) -> BorrowedFd<'_> {
+        self.listener.io().inner().as_fd()
     }
 
-    /// Waits for the next connection; `None` once the door is shut.
+    /// Waits for the next connection; `None` once the door is shut and nobody stands before it.
     pub fn accept(&self) -> Option<Link> {
         let tired = {
             let mut streak = locked(&self.streak);
@@ -324,19 +433,43 @@
             sleep(REST);
         }
         loop {
-            match self.listener.accept() {
-                Ok((stream, _)) => return Some(Link::new(stream)),
-                // A shut listener says so with this; all other errors concern one connection or pass by.
-                Err(e) if e.kind() == ErrorKind::InvalidInput => return None,
-                // Out of descriptors: others must close before this can go on.
+            match self.state.load(Ordering::Acquire) {
+                HELD => {
+                    self.listener.io().wait_io();
+                    continue;
+                }
+                LEFT => return None,
+                _ => {}
+            }
+            match self.listener.io().inner().accept().and_then(|(stream, _)| Link::new(stream)) {
+                Ok(link) => return Some(link),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    if self.state.load(Ordering::Acquire) == SHUT {
+                        // Those who come now are refused at once. It can only fail where it is shut already.
+                        let _ = SockRef::from(self.listener.io().inner()).shutdown(Shutdown::Both);
+                        return None;
+                    }
+                    self.listener.io().wait_io();
+                }
+                // Out of descriptors: others must close before this can go on. What else there is concerns one connection.
                 Err(_) => sleep(Duration::from_millis(5)),
             }
         }
     }
 
-    /// Refuses new connections from now on.
+    /// Accepts nothing for now, or again. Connections wait at the listener meanwhile, for whoever else accepts there.
+    pub fn hold(&self, held: bool) {
+        self.go_to(if held { HELD } else { OPEN });
+    }
+
+    /// Accepts those who stand before the door, and nobody more. What is held is left to whoever else accepts there.
     pub fn shut(&self) {
-        // It can only fail where the listener is shut already.
-        let _ = socket2::SockRef::from(self.listener.inner()).shutdown(Shutdown::Both);
+        let held = self.state.load(Ordering::Acquire) == HELD;
+        self.go_to(if held { LEFT } else { SHUT });
+    }
+
+    fn go_to(&self, state: u8) {
+        self.state.store(state, Ordering::Release);
+        self.listener.io().waker().wakeup();
     }
 }
--- a/crates/snowfield/src/desk.rs
+++ b/crates/snowfield/src/desk.rs
@@ -1,24 +1,37 @@
 //! What operators' calls act on: the parts of the platform's gatekeeper, brought together for the door.
 
-use crate::door;
 use crate::hosts::Hosts;
+use crate::{door, held};
 use destination::{Pools, RespDestination};
 use front_resp::RespExchange;
+use handover::{Message, Peer};
 use link::locked;
 use operator::{ClassFigures, Figures};
+use std::collections::HashMap;
+use std::path::PathBuf;
 use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
+use std::sync::mpsc::{Sender, channel};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 const STARTING: u8 = 0;
 const READY: u8 = 1;
 const ENDING: u8 = 2;
 
+/// How long the other program may take to answer a call: the caller waits for 1 s in all.
+const PEER_WITHIN: Duration = Duration::from_millis(400);
+
 /// The parts, and what has been counted outside them.
 pub struct Desk {
     exchange: Arc<RespExchange>,
     pools: Arc<Pools<RespDestination>>,
     hosts: Arc<Mutex<Hosts>>,
     classes: Vec<String>,
+    /// Where holds are kept for the program that comes next.
+    folder: Option<PathBuf>,
+    /// The program that this one takes the place of, or that takes this one's, and calls to it that wait for an answer.
+    peer: Mutex<Option<Arc<Peer>>>,
+    calls: Mutex<(u64, HashMap<u64, Sender<bool>>)>,
     stage: AtomicU8,
     reloads: AtomicU64,
     reload_errors: AtomicU64,
@@ -31,9 +44,84 @@
         pools: Arc<Pools<RespDestination>>,
         hosts: Arc<Mutex<Hosts>>,
         classes: Vec<String>,
+        folder: Option<PathBuf>,
     ) -> Self {
-        let (stage, reloads, reload_errors) = (AtomicU8::new(STARTING), AtomicU64::new(0), AtomicU64::new(0));
-        Self { exchange, pools, hosts, classes, stage, reloads, reload_errors }
+        let (peer, calls, stage, reloads, reload_errors) = Default::default();
+        Self { exchange, pools, hosts, classes, folder, peer, calls, stage, reloads, reload_errors }
+    }
+
+    /// Takes up the holds that an earlier program has left.
+    pub fn restore(&self) {
+        let Some(folder) = &self.folder else { return };
+        match held::read(folder) {
+            Ok(ids) => {
+                for id in ids {
+                    self.apply(&id, true, true);
+                }
+            }
+            Err(why) => println!("operators: the file of loan servers that are out is not used: {why}"),
+        }
+    }
+
+    /// Names the other program of an upgrade, or that there is none any more.
+    pub fn set_peer(&self, peer: Option<Arc<Peer>>) {
+        *locked(&self.peer) = peer;
+        // Nobody answers these any more.
+        locked(&self.calls).1.clear();
+    }
+
+    /// Whether this program is to end.
+    pub fn is_ending(&self) -> bool {
+        self.stage.load(Ordering::Acquire) == ENDING
+    }
+
+    /// The other program has said something about holds.
+    pub fn heard(&self, peer: &Peer, message: Message) {
+        match message {
+            Message::Hold { call, id, held, known } => {
+                let done = self.apply(&id, held, known);
+                // Where it has gone nobody waits for this.
+                let _ = peer.send(&Message::Held { call, done }, None);
+            }
+            Message::Held { call, done } => {
+                if let Some(caller) = locked(&self.calls).1.remove(&call) {
+                    // It may have given up.
+                    let _ = caller.send(done);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Has the other program do the same. `known`: the id is one that this program has.
+    fn ask_peer(&self, peer: &Peer, id: &str, held: bool, known: bool) -> bool {
+        let (tell, told) = channel();
+        let call = {
+            let mut calls = locked(&self.calls);
+            calls.0 += 1;
+            let call = calls.0;
+            calls.1.insert(call, tell);
+            call
+        };
+        let message = Message::Hold { call, id: id.to_owned(), held, known };
+        let done = peer.send(&message, None).is_ok() && told.recv_timeout(PEER_WITHIN).unwrap_or(false);
+        locked(&self.calls).1.remove(&call);
+        done
+    }
+
+    /// Takes a loan server out here, or calls it back; tells whether anybody has this id.
+    pub fn apply(&self, id: &str, held: bool, known: bool) -> bool {
+        // Held over all three, so that two calls for one loan server do not cross.
+        let mut hosts = locked(&self.hosts);
+        let Some(number) = hosts.hold(id, held, known) else { return false };
+        // Decisions follow the pools: what was decided before the hold is refused there, called back it finds them open.
+        self.pools.hold(number, held);
+        self.exchange.hold(number, held);
+        if let Some(Err(why)) = self.folder.as_ref().map(|folder| held::write(folder, hosts.held())) {
+            println!("operators: which loan servers are out could not be written down: {why}");
+        }
+        println!("operators: {id} {}", if held { "is out" } else { "is used again" });
+        true
     }
 
     /// Clients are served from now on.
@@ -82,13 +170,13 @@
     }
 
     fn hold(&self, id: &str, held: bool) -> Result<(), String> {
-        // Held over all three, so that two calls for one loan server do not cross.
-        let mut hosts = locked(&self.hosts);
-        let number = hosts.hold(id, held).ok_or("no such loan server")?;
-        // Decisions follow the pools: what was decided before the hold is refused there, called back it finds them open.
-        self.pools.hold(number, held);
-        self.exchange.hold(number, held);
-        println!("operators: {id} {}", if held { "is out" } else { "is used again" });
-        Ok(())
+        let known = self.apply(id, held, false);
+        let peer = locked(&self.peer).clone();
+        // The lists of two programs may differ for a moment: an id that one has binds both.
+        if peer.is_some_and(|peer| self.ask_peer(&peer, id, held, known)) && !known {
+            self.apply(id, held, true);
+            return Ok(());
+        }
+        if known { Ok(()) } else { Err("no such loan server".into()) }
     }
 }
--- a/crates/snowfield/src/hosts.rs
+++ b/crates/snowfield/src/hosts.rs
@@ -74,10 +74,16 @@
     }
 
     /// Notes that operators take a destination out, or call it back, and tells its number. An id may be named that is on
-    /// the list, or out by hand; nobody else has one. `None` for such an id, or where too many are out.
-    pub fn hold(&mut self, uid: &str, held: bool) -> Option<u32> {
-        let number = self.numbers.get(uid).copied();
-        let known = number.filter(|n| self.listed.contains(n) || self.held.contains(uid))?;
+    /// the list, or out by hand; nobody else has one, unless it is `known` elsewhere. `None` for such an id, or where too
+    /// many are out.
+    pub fn hold(&mut self, uid: &str, held: bool, known: bool) -> Option<u32> {
+        let next = self.numbers.len() as u32 + 1;
+        let known = if known {
+            *self.numbers.entry(uid.to_owned()).or_insert(next)
+        } else {
+            let number = self.numbers.get(uid).copied();
+            number.filter(|n| self.listed.contains(n) || self.held.contains(uid))?
+        };
         if !held {
             self.held.remove(uid);
         } else if self.held.len() < MOST_HELD {
@@ -87,6 +93,22 @@
         }
         Some(known)
     }
+
+    /// Ids that operators have taken out.
+    pub fn held(&self) -> impl Iterator<Item = &str> {
+        self.held.iter().map(String::as_str)
+    }
+
+    /// Number and id of those on the list.
+    pub fn listed(&self) -> Vec<(u32, String)> {
+        let here = self.numbers.iter().filter(|(_, number)| self.listed.contains(number));
+        here.map(|(uid, number)| (*number, uid.clone())).collect()
+    }
+
+    /// The number of an id, if it ever was on a list.
+    pub fn number(&self, uid: &str) -> Option<u32> {
+        self.numbers.get(uid).copied()
+    }
 }
 
 fn position(names: &mut Vec<String>, name: String) -> usize {
--- a/crates/snowfield/src/main.rs
+++ b/crates/snowfield/src/main.rs
@@ -7,9 +7,11 @@
 mod door;
 mod duties;
 mod fleet;
+mod held;
 mod hosts;
 mod platform;
 mod signals;
+mod upgrade;
 
 use std::process::ExitCode;
 
--- a/crates/snowfield/src/platform.rs
+++ b/crates/snowfield/src/platform.rs
@@ -3,23 +3,30 @@
 use crate::desk::Desk;
 use crate::door;
 use crate::hosts::Hosts;
-use crate::signals;
+use crate::{signals, upgrade};
 use counter::CounterClient;
 use destination::{Limits, Pools, RespDestination};
 use dewproxy::interface::{Effect, ListKind};
 use discovery::{Pace, Watch};
 use exchange::{Clock, Exchange};
 use front_resp::{ClassRule, Front, Rules};
+use handover::Place;
 use link::{Door, spawn, spawn_with};
 use settings::Config;
+use std::path::PathBuf;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::sync_channel;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// Descriptors kept for the listener, discovery, the counter with its lanes before and after a reload, the file that is
 /// read at a reload, `may`, the signals and the standard streams.
 const SPARE_SOCKETS: usize = 40;
-/// Descriptors of the operators' door, where there is one.
-const DOOR_SOCKETS: usize = door::MOST_CALLERS + 2;
+/// Descriptors of the operators' door, where there is one, and of upgrades.
+const DOOR_SOCKETS: usize = door::MOST_CALLERS + 6;
+
+/// How long a program that takes another's place waits for its first list.
+const FIRST_LIST: Duration = Duration::from_millis(500);
 
 /// Reads the configuration, serves until a signal, and answers what was taken.
 ///
@@ -37,7 +44,7 @@
     }
     link::set_up();
     let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
-    let Parts { front, door, watch, counter, desk } = start(config)?;
+    let Parts { front, door, watch, counter, desk, upgrade } = start(config)?;
     signals::serve_until(
         caught,
         &door,
@@ -47,7 +54,7 @@
             desk.set_ending();
             front.close();
         },
-        || front.open(),
+        || front.open() + upgrade.passing.load(Ordering::Acquire),
     );
     Ok(())
 }
@@ -104,6 +111,7 @@
     watch: Arc<Watch>,
     counter: Option<Arc<CounterClient>>,
     desk: Arc<Desk>,
+    upgrade: Arc<upgrade::Parts>,
 }
 
 fn start(config: Config) -> Result<Parts, String> {
@@ -126,7 +134,11 @@
     exchange.connect(pools.clone(), calls);
 
     let hosts = Arc::new(Mutex::new(Hosts::new(&config)));
-    let desk = Arc::new(Desk::new(exchange.clone(), pools.clone(), hosts.clone(), config.classes.clone()));
+    // Only who is operated can be asked whether it is ready, and so be started beside another.
+    let folder = config.operator.and_then(|_| std::env::var_os("TMPDIR")).map(PathBuf::from);
+    let (classes, plans) = (config.classes.clone(), config.plans.clone());
+    let desk = Desk::new(exchange.clone(), pools.clone(), hosts.clone(), classes.clone(), folder.clone());
+    let desk = Arc::new(desk);
     if let Some(at) = config.operator {
         let at = door::open(at, desk.clone()).map_err(|e| format!("operator {at}: {e}"))?;
         println!("{}: operators are answered on {at}", config.name);
@@ -138,14 +150,18 @@
     exchange.listed(ListKind::Cached, entries);
 
     let watch = Watch::new(config.discovery);
-    let (watching, told_pools, told) = (watch.clone(), pools.clone(), exchange.clone());
+    let (watching, told_pools, told, known_hosts) =
+        (watch.clone(), pools.clone(), exchange.clone(), hosts.clone());
+    let (tell, first_list) = sync_channel(1);
     let pace = Pace::new(config.seed, config.settings.must_ask);
     spawn_with(link::LARGE_STACK, move || {
         watching.run(rev, pace, |list| {
             let kind = if list.all { ListKind::Full } else { ListKind::Changes };
-            let (entries, places) = link::locked(&hosts).translate(list);
+            let (entries, places) = link::locked(&known_hosts).translate(list);
             told_pools.listed(kind, &places);
             told.listed(kind, entries);
+            // Only the first is waited for.
+            let _ = tell.try_send(());
         });
     });
     // Route steps take few connections, clients hold on to many: a front socket may use any descriptor that no route step
@@ -153,8 +169,9 @@
     let (room, kept) = (pools.clone(), sockets / 6);
     let front = Front::new(exchange.clone(), rules, move || sockets - kept.max(room.open() + kept / 6));
     let (swept_front, swept_watch, swept_counter) = (front.clone(), watch.clone(), counter.clone());
-    crate::clock::run(exchange, move || {
-        pools.sweep();
+    let (timed, swept_pools) = (exchange.clone(), pools.clone());
+    crate::clock::run(timed, move || {
+        swept_pools.sweep();
         swept_front.sweep();
         swept_watch.sweep();
         if let Some(counter) = &swept_counter {
@@ -162,12 +179,46 @@
         }
     });
 
-    let door = Door::open(config.listen).map_err(|e| format!("{}: {e}", config.listen))?;
+    let upgrade = Arc::new(upgrade::Parts {
+        desk: desk.clone(),
+        exchange,
+        pools,
+        hosts,
+        front: front.clone(),
+        classes,
+        plans,
+        passing: Default::default(),
+    });
+    let mut taken = None;
+    if let Some(old) = folder.as_deref().and_then(upgrade::call) {
+        desk.set_peer(Some(old.clone()));
+        // Its list may be of long ago: what drains or has gone should be known before anything is sent.
+        let _ = first_list.recv_timeout(FIRST_LIST);
+        match upgrade.take(&old) {
+            Ok(door) => taken = Some((door, old)),
+            Err(why) => println!("upgrade: nothing was taken over ({why}); starting without it"),
+        }
+    } else {
+        desk.restore();
+    }
+    let (door, old) = match taken {
+        Some((door, old)) => (door, Some(old)),
+        None => (Door::open(config.listen).map_err(|e| format!("{}: {e}", config.listen))?, None),
+    };
     let door = Arc::new(door);
+    if let Some(folder) = &folder {
+        match Place::take(folder) {
+            Ok(place) => upgrade.give_way(place, &door),
+            Err(why) => println!("upgrade: the next program cannot call this one: {why}"),
+        }
+    }
     front.set_ready();
     desk.set_ready();
     println!("{}: serving on {}", config.name, door.address().map_err(|e| e.to_string())?);
     let (accepting, entrance) = (front.clone(), door.clone());
     spawn(move || accepting.run(&entrance));
-    Ok(Parts { front, door, watch, counter, desk })
+    if let Some(old) = old {
+        upgrade.follow(old);
+    }
+    Ok(Parts { front, door, watch, counter, desk, upgrade })
 }
--- /dev/null
+++ b/crates/snowfield/src/upgrade.rs
@@ -0,0 +1,205 @@
+//! Upgrades: this program takes the place of one that serves, and gives way to the one that comes next. What they say to each
+//! other is in `handover`; docs/design/operation.md has the order of things.
+
+use crate::desk::Desk;
+use crate::hosts::Hosts;
+use destination::{Pools, RespDestination};
+use exchange::Carried;
+use front_resp::{Front, Heir, RespExchange};
+use handover::{Message, Peer, Place, VERSION};
+use link::{Door, Link, locked, spawn_with};
+use std::collections::HashMap;
+use std::net::{TcpListener, TcpStream};
+use std::os::fd::AsFd;
+use std::path::Path;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::channel;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+/// How long the other program may take for its next step. A new one must be ready within 6 s.
+const STEP: Duration = Duration::from_secs(3);
+
+/// What is handed over, and who has it.
+pub struct Parts {
+    pub desk: Arc<Desk>,
+    pub exchange: Arc<RespExchange>,
+    pub pools: Arc<Pools<RespDestination>>,
+    pub hosts: Arc<Mutex<Hosts>>,
+    pub front: Arc<Front>,
+    /// Names of the classes and of the plans, by number.
+    pub classes: Vec<String>,
+    pub plans: Vec<String>,
+    /// Connections that are on their way to the other program.
+    pub passing: AtomicUsize,
+}
+
+/// Calls the program that serves with this folder, if there is one.
+pub fn call(folder: &Path) -> Option<Arc<Peer>> {
+    let peer = Peer::call(folder).ok()?;
+    peer.send(&Message::Hello { version: VERSION }, None).ok()?;
+    Some(Arc::new(peer))
+}
+
+impl Parts {
+    /// Takes the place of a program that serves. When this returns it lets nothing in any more, and the door is its own.
+    pub fn take(&self, peer: &Arc<Peer>) -> Result<Door, String> {
+        let taken = self.take_state(peer);
+        if taken.is_err() {
+            peer.close();
+            self.desk.set_peer(None);
+        }
+        taken
+    }
+
+    fn take_state(&self, peer: &Peer) -> Result<Door, String> {
+        peer.send(&Message::Take, None).map_err(|e| e.to_string())?;
+        let (message, listener) = loop {
+            match peer.receive(Some(STEP)).map_err(|e| e.to_string())? {
+                (message @ (Message::Hold { .. } | Message::Held { .. }), _) => {
+                    self.desk.heard(peer, message)
+                }
+                other => break other,
+            }
+        };
+        let Message::State { module, destinations, plans, classes, held } = message else {
+            return Err("it sent something else".into());
+        };
+        let listener = TcpListener::from(listener.ok_or("it sent no listener")?);
+        let door = Door::given(listener).map_err(|e| e.to_string())?;
+        for id in held {
+            self.desk.apply(&id, true, true);
+        }
+        match postcard::from_bytes::<Carried>(&module) {
+            Ok(carried) => {
+                let hosts = locked(&self.hosts);
+                let number = |(theirs, id): (u32, String)| Some((theirs, hosts.number(&id)?));
+                let numbers: HashMap<u32, u32> = destinations.into_iter().filter_map(number).collect();
+                let (plans, classes) = (places(&plans, &self.plans), places(&classes, &self.classes));
+                self.exchange.take_over(carried.renumbered(&numbers, &plans, &classes));
+            }
+            Err(why) => {
+                println!("upgrade: what the other program knew cannot be read ({why}); starting without it")
+            }
+        }
+        Ok(door)
+    }
+
+    /// Takes the connections that the other program passes on, until it ends.
+    pub fn follow(self: &Arc<Self>, peer: Arc<Peer>) {
+        let parts = self.clone();
+        thread::spawn(move || {
+            let mut taken = 0;
+            loop {
+                match peer.receive(None) {
+                    Ok((Message::Client { begun }, Some(socket))) => {
+                        if let Ok(link) = Link::new(TcpStream::from(socket)) {
+                            parts.front.adopt(link, begun);
+                            taken += 1;
+                        }
+                    }
+                    Ok((message, _)) => parts.desk.heard(&peer, message),
+                    Err(_) => break,
+                }
+            }
+            parts.desk.set_peer(None);
+            println!("upgrade: the other program has ended; {taken} connections were taken over");
+        });
+    }
+
+    /// Gives way to whoever calls at this place, one after the other, for as long as the process lives.
+    pub fn give_way(self: &Arc<Self>, place: Place, door: &Arc<Door>) {
+        let (parts, door) = (self.clone(), door.clone());
+        thread::spawn(move || {
+            loop {
+                match place.accept() {
+                    Ok(peer) => parts.serve_heir(&Arc::new(peer), &door),
+                    Err(_) => thread::sleep(STEP),
+                }
+            }
+        });
+    }
+
+    fn serve_heir(self: &Arc<Self>, peer: &Arc<Peer>, door: &Arc<Door>) {
+        match peer.receive(Some(STEP)) {
+            Ok((Message::Hello { version: VERSION }, _)) => {}
+            Ok(_) => return println!("upgrade: a program of another form called; this one serves on"),
+            Err(_) => return,
+        }
+        self.desk.set_peer(Some(peer.clone()));
+        let mut given = false;
+        while let Ok((message, _)) = peer.receive((!given).then_some(2 * STEP)) {
+            match message {
+                Message::Take if !given => {
+                    given = true;
+                    if let Err(why) = self.give(peer, door) {
+                        println!("upgrade: the other program could not be given all ({why})");
+                        break;
+                    }
+                }
+                message => self.desk.heard(peer, message),
+            }
+        }
+        peer.close();
+        self.desk.set_peer(None);
+        if given && !self.desk.is_ending() {
+            println!("upgrade: the other program has ended; this one serves on, with empty stores");
+            self.exchange.take_back();
+            self.pools.retire(false);
+            self.front.go_on();
+            door.hold(false);
+        }
+    }
+
+    /// Stops letting anything in, and gives all there is.
+    fn give(self: &Arc<Self>, peer: &Arc<Peer>, door: &Arc<Door>) -> Result<(), String> {
+        let (pass, passed) = channel::<(TcpStream, Vec<u8>)>();
+        let counted = self.clone();
+        let heir: Arc<Heir> = Arc::new(move |socket, begun| {
+            counted.passing.fetch_add(1, Ordering::AcqRel);
+            if pass.send((socket, begun)).is_err() {
+                counted.passing.fetch_sub(1, Ordering::AcqRel);
+            }
+        });
+        let (tell, told) = channel();
+        let (parts, shut) = (self.clone(), door.clone());
+        // On the worker, between two steps of any front socket: no request is let in after the state was taken.
+        spawn_with(link::LARGE_STACK, move || {
+            shut.hold(true);
+            parts.front.pass_on(heir);
+            // Nobody waits for it where the program is ending.
+            let _ = tell.send(parts.exchange.hand_over());
+        });
+        let carried = told.recv_timeout(STEP).map_err(|e| e.to_string())?;
+        let message = {
+            let hosts = locked(&self.hosts);
+            Message::State {
+                module: postcard::to_stdvec(&carried).map_err(|e| e.to_string())?,
+                destinations: hosts.listed(),
+                plans: self.plans.clone(),
+                classes: self.classes.clone(),
+                held: hosts.held().map(str::to_owned).collect(),
+            }
+        };
+        peer.send(&message, Some(door.listener())).map_err(|e| e.to_string())?;
+        self.pools.retire(true);
+        println!("upgrade: another program serves now; this one finishes what it has");
+        let (parts, peer) = (self.clone(), peer.clone());
+        thread::spawn(move || {
+            for (socket, begun) in passed {
+                let gone = peer.send(&Message::Client { begun }, Some(socket.as_fd())).is_err();
+                parts.passing.fetch_sub(1, Ordering::AcqRel);
+                if gone {
+                    return;
+                }
+            }
+        });
+        Ok(())
+    }
+}
+
+/// For each of their names its number here.
+fn places(theirs: &[String], ours: &[String]) -> Vec<Option<usize>> {
+    theirs.iter().map(|name| ours.iter().position(|n| n == name)).collect()
+}
--- a/crates/snowfield/tests/common/site.rs
+++ b/crates/snowfield/tests/common/site.rs
@@ -12,6 +12,8 @@
     pub folder: Folder,
     /// Where operators call, if they may.
     pub door: Option<SocketAddr>,
+    /// The folder that programs of an upgrade share.
+    pub shared: Option<Folder>,
 }
 
 pub struct Shape<'a> {
@@ -75,7 +77,7 @@
     let door = operated.then(|| program.logged("operators are answered on ").parse().expect("an address"));
     let listen = program.logged("serving on ").parse().expect("an address");
     let (_, watch) = next(&agent.watches);
-    Site { program, listen, agent, watch, folder, door }
+    Site { program, listen, agent, watch, folder, door, shared: None }
 }
 
 pub fn query(id: u32, wait_ms: u32, units: u32) -> Vec<u8> {
--- a/crates/snowfield/tests/operation.rs
+++ b/crates/snowfield/tests/operation.rs
@@ -5,6 +5,7 @@
 use common::*;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::mpsc::channel;
 
 /// Calls an operator's door and returns the whole reply.
 fn call(door: SocketAddr, line: &str) -> String {
@@ -27,7 +28,10 @@
 }
 
 fn operated(test: &str, shape: &Shape<'_>) -> (Site, SocketAddr) {
-    let site = site_with(test, shape, &[("BALANCER_OPERATOR", "127.0.0.1:0")]);
+    let folder = Folder::new(&format!("{test}-tmp"));
+    let tmp = folder.0.to_str().expect("a path in UTF-8");
+    let mut site = site_with(test, shape, &[("BALANCER_OPERATOR", "127.0.0.1:0"), ("TMPDIR", tmp)]);
+    site.shared = Some(folder);
     let door = site.door.expect("operators are answered");
     (site, door)
 }
@@ -153,3 +157,167 @@
     }
     assert_eq!(all_asked(&seen_two).len(), 0, "the other one is still out");
 }
+
+/// Starts the next program beside the one of a site, as an upgrade does, and waits until it says yes.
+fn beside(site: &Site) -> (Program, SocketAddr) {
+    let path = site.folder.0.join("config.json");
+    let tmp = &site.shared.as_ref().expect("a folder that both have").0;
+    let variables = [
+        ("BALANCER_CONFIG", path.to_str().expect("a path in UTF-8")),
+        ("BALANCER_OPERATOR", "127.0.0.1:0"),
+        ("TMPDIR", tmp.to_str().expect("a path in UTF-8")),
+    ];
+    let program = Program::start(&[], &variables);
+    let door = program.logged("operators are answered on ").parse().expect("an address");
+    while call(door, "readyz") != "OK\n" {}
+    (program, door)
+}
+
+/// Guards those who stand at the door: an upgrade under load must not reset, close on or leave unread a single request.
+#[test]
+fn upgrades_under_load_end_nothing_at_the_door() {
+    use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+    let (at, _seen) = echo();
+    let (mut site, _) = operated("upgrade-load", &Shape { destinations: &[at], ..Shape::default() });
+    let (stop, number) = (AtomicBool::new(false), AtomicU32::new(1));
+    let listen = site.listen;
+    std::thread::scope(|scope| {
+        for kept in [false, false, true, true] {
+            let (stop, number) = (&stop, &number);
+            scope.spawn(move || {
+                let mut client = Client::connect(listen);
+                while !stop.load(Ordering::Relaxed) {
+                    let number = number.fetch_add(1, Ordering::Relaxed);
+                    if !kept {
+                        client = Client::connect(listen);
+                    }
+                    client.send(&query_by_another(number));
+                    let reply = client.reply();
+                    assert!(reply == id(number) || reply.starts_with("-BUSY"), "{number}: {reply}");
+                }
+            });
+        }
+        for _ in 0..4 {
+            let (next, _) = beside(&site);
+            let mut old = std::mem::replace(&mut site.program, next);
+            old.terminate();
+            assert_eq!(old.wait(), Some(0));
+            let served = number.load(Ordering::Relaxed);
+            while number.load(Ordering::Relaxed) < served + 300 {
+                std::thread::yield_now();
+            }
+        }
+        stop.store(true, Ordering::Relaxed);
+    });
+    assert!(number.into_inner() > 1200);
+}
+
+/// Guards what stands between two programs: a request that is answered by the old one, half a request, an idle connection, and
+/// the stores, which must not be filled anew.
+#[test]
+fn the_next_program_goes_on_where_the_last_one_stopped() {
+    let (release, word) = channel();
+    let word = std::sync::Mutex::new(Some(word));
+    let (at, seen) = destination(command, move |words| match words[2].as_str() {
+        "000000000000000a" => {
+            let word = word.lock().expect("no stand-in panics").take().expect("one request");
+            Does::SayAfter(word, value(&words[2]))
+        }
+        _ => Does::Say(value(&words[2])),
+    });
+    let (mut site, door) = operated("upgrade-state", &Shape { destinations: &[at], ..Shape::default() });
+    let (mut idle, mut half, mut waits) =
+        (Client::connect(site.listen), Client::connect(site.listen), Client::connect(site.listen));
+    // The whole store of a customer is spent.
+    idle.send(&query(1, 2400, 8));
+    assert_eq!(idle.reply(), id(1));
+    let whole = query_by_another(2);
+    half.send(&whole[..40]);
+    waits.send(&query_by_another(10));
+    asked(&seen);
+    asked(&seen);
+    assert_eq!(call(door, "exclude s-unknown"), "ERR no such loan server\n");
+    let (next, next_door) = beside(&site);
+    // What comes behind the open request is read by the next program, once the old one has answered.
+    waits.send(&query_by_another(3));
+    half.send(&whole[40..]);
+    assert_eq!(half.reply(), id(2));
+    idle.send(&query(4, 2400, 8));
+    assert!(idle.reply().starts_with("-BUSY"), "the store is as empty as it was");
+    release.send(()).expect("the stand-in waits");
+    assert_eq!([waits.reply(), waits.reply()], [id(10), id(3)]);
+    let completed = |door| figure(&call(door, "telemetry"), "balancer_completed_total{lane=\"lookup\"}");
+    assert_eq!((completed(door), completed(next_door)), (2, 2), "each counts what it ended");
+    let mut old = std::mem::replace(&mut site.program, next);
+    old.terminate();
+    assert_eq!(old.wait(), Some(0));
+    idle.send(&query_by_another(5));
+    assert_eq!(idle.reply(), id(5));
+}
+
+/// Guards the ban over an upgrade: a call to either program binds both, and holds outlive the program that was called.
+#[test]
+fn a_hold_binds_both_programs_and_those_that_come_later() {
+    let ((one, seen_one), (two, _seen)) = (echo(), echo());
+    let (mut site, door) = operated("upgrade-hold", &Shape { destinations: &[one, two], ..Shape::default() });
+    let unavailable = |door| figure(&call(door, "telemetry"), "balancer_members_unavailable");
+    assert_eq!(call(door, "exclude s-0"), "OK\n");
+    let (next, next_door) = beside(&site);
+    assert_eq!((unavailable(door), unavailable(next_door)), (1, 1));
+    assert_eq!(call(next_door, "exclude s-1"), "OK\n");
+    assert_eq!(unavailable(door), 2, "the old one hears of it before the yes");
+    assert_eq!(call(door, "include s-1"), "OK\n");
+    assert_eq!(unavailable(next_door), 1);
+    let mut old = std::mem::replace(&mut site.program, next);
+    old.terminate();
+    assert_eq!(old.wait(), Some(0));
+    let mut client = Client::connect(site.listen);
+    for number in 1..20 {
+        client.send(&query_by_another(number));
+        assert_eq!(client.reply(), id(number));
+    }
+    assert_eq!(all_asked(&seen_one).len(), 0);
+    // One that ended without a word has left a file.
+    site.program.signal("-KILL");
+    site.program.wait();
+    let (last, last_door) = beside(&site);
+    assert_eq!(unavailable(last_door), 1);
+    assert_eq!(call(last_door, "include s-0"), "OK\n");
+    assert_eq!(unavailable(last_door), 0);
+    drop(last);
+}
+
+/// Guards against a new program that dies young: the one before it serves on, and fills no store twice.
+#[test]
+fn a_program_whose_successor_ends_serves_on() {
+    let (at, _seen) = echo();
+    let (site, door) = operated("upgrade-back", &Shape { destinations: &[at], ..Shape::default() });
+    let mut client = Client::connect(site.listen);
+    client.send(&query(1, 2400, 1));
+    assert_eq!(client.reply(), id(1));
+    let (next, _) = beside(&site);
+    next.signal("-KILL");
+    site.program.logged("upgrade: the other program has ended");
+    let mut client = Client::connect(site.listen);
+    client.send(&query(2, 2400, 8));
+    assert!(client.reply().starts_with("-BUSY"), "nobody knows what the other has spent");
+    client.send(&query_by_another(3));
+    assert_eq!(client.reply(), id(3));
+    assert_eq!(call(door, "readyz"), "OK\n");
+}
+
+/// Guards a start beside a socket or a file that is of no use: it is passed over, and the program serves.
+#[test]
+fn what_an_earlier_program_has_left_damaged_is_passed_over() {
+    let (at, _seen) = echo();
+    let folder = Folder::new("upgrade-stale");
+    folder.write("snowfield.sock", "no socket");
+    folder.write("snowfield.held", "snowfield held 1 3\ns-0\n");
+    let tmp = folder.0.to_str().expect("a path in UTF-8");
+    let variables = [("BALANCER_OPERATOR", "127.0.0.1:0"), ("TMPDIR", tmp)];
+    let site =
+        site_with("upgrade-stale-site", &Shape { destinations: &[at], ..Shape::default() }, &variables);
+    let mut client = Client::connect(site.listen);
+    client.send(&query(1, 2400, 1));
+    assert_eq!(client.reply(), id(1));
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -84,8 +84,11 @@
 /// Part of a key's life left for the journey of a repeat.
 const KEY_MARGIN: f64 = 0.15;
 
+#[path = "carry.rs"]
+mod carry;
 #[path = "members.rs"]
 mod members;
+pub use carry::Carried;
 pub use members::Members;
 
 type Actions = Vec<Action>;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,4 +8,4 @@
 mod state;
 mod trend;
 
-pub use control::{Gateway, Members};
+pub use control::{Carried, Gateway, Members};
--- a/src/p2.rs
+++ b/src/p2.rs
@@ -1,5 +1,7 @@
 //! The P² estimator of one quantile in constant memory (Jain and Chlamtac, 1985).
 
+use serde::{Deserialize, Serialize};
+
 /// Running estimate of one quantile from five markers; no sample is kept.
 ///
 /// # Examples
@@ -11,7 +13,7 @@
 /// }
 /// assert!((median.value().unwrap() - 51.0).abs() < 1.0);
 /// ```
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct P2 {
     quantile: f64,
     count: u64,
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,10 +1,11 @@
 //! What a gateway remembers: plain data, no decision. `control.rs` alone reads and changes it.
 
 use crate::interface::{BackendEntry, Micros, Outcome};
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
 /// One customer's store as this gateway knows it.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub(crate) struct Customer {
     pub(crate) plan: usize,
     pub(crate) set: f64,
@@ -36,7 +37,7 @@
     pub(crate) opened: Micros,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub(crate) struct Counter {
     pub(crate) failures: u32,
     pub(crate) answered: Micros,
@@ -50,8 +51,10 @@
     pub(crate) at: Micros,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub(crate) struct Backend {
+    /// What the list says of it; another gateway has its own list.
+    #[serde(skip)]
     pub(crate) entry: BackendEntry,
     /// Attempts that are out there.
     pub(crate) out: u32,
@@ -92,7 +95,7 @@
 }
 
 /// How one class fares at one backend.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 pub(crate) struct Health {
     pub(crate) answered: Micros,
     /// The time of the next trial.
@@ -125,7 +128,7 @@
 }
 
 /// Mean latency of one class in us, and its largest settled request.
-#[derive(Debug)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub(crate) struct Kind {
     pub(crate) mean: f64,
     pub(crate) largest: f64,
@@ -138,7 +141,7 @@
 }
 
 /// What is known of the backends together.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub(crate) struct Fleet {
     /// Ids of the ready ones in this gateway's own order, and how many of the first it keeps to.
     pub(crate) ready: Vec<u32>,
--- a/src/trend.rs
+++ b/src/trend.rs
@@ -2,6 +2,7 @@
 
 use crate::interface::Micros;
 use crate::p2::P2;
+use serde::{Deserialize, Serialize};
 
 /// The quantile of both latency estimates (the design).
 const QUANTILE: f64 = 0.95;
@@ -13,7 +14,7 @@
 const LONG_WARM: u64 = 100;
 
 /// Short- and long-term p95 of latency.
-#[derive(Debug)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub(crate) struct Trend {
     short: P2,
     short_since: Micros,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -912,3 +912,55 @@
     assert!(at_first <= 15, "it counts as cold: {at_first} of 50");
     assert!(later > 0, "and it is used again");
 }
+
+/// Guards quotas over an upgrade: the one that takes over has what is left of a store and of a ceiling, and the spend that the
+/// counter has not heard of is told once.
+#[test]
+fn who_takes_over_has_what_is_left_and_tells_what_was_not_told() {
+    let mut settings = Settings { counter: false, ..settings() };
+    settings.plans[0].ceiling_rate = 20.0;
+    settings.plans[0].ceiling_burst = 40.0;
+    let started = || {
+        let mut bench = Bench::start(settings.clone(), &backends(4), 100 * SECOND);
+        bench.tick_until(110 * SECOND);
+        bench
+    };
+    let let_in = |bench: &mut Bench, id| {
+        let sent = sends(&bench.request(id, 0, 1.0));
+        sent.iter().for_each(|&b| drop(bench.end(id, 0, b, Outcome::Ok)));
+        !sent.is_empty()
+    };
+    let mut giver = started();
+    let spent = (0..100).take_while(|&id| let_in(&mut giver, id)).count();
+    assert!((1..100).contains(&spent), "{spent}");
+    assert!(let_in(&mut started(), 0), "a store of its own would let it in");
+    let mut taker = started();
+    taker.gateway.take_over(giver.gateway.hand_over());
+    assert!(!let_in(&mut taker, 200), "the store is as empty as it was");
+    // Given back unheard, nothing may be spent that the other may have spent.
+    let mut giver = started();
+    assert!(let_in(&mut giver, 300));
+    giver.gateway.take_back();
+    assert!(!let_in(&mut giver, 301));
+}
+
+#[test]
+fn spend_that_the_counter_has_not_heard_of_goes_along() {
+    let mut giver = Bench::start(settings(), &backends(4), 100 * SECOND);
+    let first = giver.feed(request(1, 0, 2.0));
+    let (name, add) = count(&first).expect("the first total is waited for");
+    let total = add + 1.0;
+    giver.feed(counted(name, total, Outcome::Ok));
+    // The counter is busy with this customer's next call, so that later spend has to wait.
+    giver.feed(request(2, 0, 1.5));
+    giver.feed(request(3, 0, 0.5));
+    let out: f64 = [1.5, 0.5].iter().sum();
+    let mut taker = Bench::start(settings(), &backends(4), 100 * SECOND);
+    taker.gateway.take_over(giver.gateway.hand_over());
+    let told = taker.tick_until(103 * SECOND);
+    let told: f64 =
+        told.iter().filter_map(|a| if let Action::Count { add, .. } = a { Some(*add) } else { None }).sum();
+    assert!(told > 0.0 && told <= out + 1e-6, "{told} of {out}");
+    let again = giver.tick_until(103 * SECOND);
+    assert!(count(&again).is_none_or(|(_, add)| add.abs() < 1e-6), "{:?} told twice", count(&again));
+}
