Take all settings at SIGHUP, whole or not at all; classes keep their numbers

Change: a file is read and checked whole, against the keys of the one in force, then put in force in module, front, pools and counter. Numbers of classes are never used again (settings::Tables); Gateway::resettle keeps stores and health.

--- a/crates/destination/src/lib.rs
+++ b/crates/destination/src/lib.rs
@@ -89,7 +89,7 @@
 pub struct Pools<P: Protocol> {
     me: Weak<Self>,
     protocol: P,
-    limits: Limits,
+    limits: Mutex<Limits>,
     exchange: OnceLock<Arc<Exchange<P::Query, P::Answer>>>,
     state: Mutex<Table<P::Query>>,
     /// Route steps whose last byte the system has taken.
@@ -140,10 +140,25 @@
     pub fn new(protocol: P, limits: Limits) -> Arc<Self> {
         let (pools, busy, held) = Default::default();
         let state = Mutex::new(Table { pools, busy, open: 0, held, retired: false });
-        let (exchange, written) = (OnceLock::new(), AtomicU64::new(0));
+        let (exchange, written, limits) = (OnceLock::new(), AtomicU64::new(0), Mutex::new(limits));
         Arc::new_cyclic(|me| Self { me: me.clone(), protocol, limits, exchange, state, written })
     }
 
+    /// How destinations are spoken to.
+    pub fn protocol(&self) -> &P {
+        &self.protocol
+    }
+
+    /// Other spans from now on, for connections that are made or swept.
+    pub fn set_spans(&self, connect: Duration, idle: Duration) {
+        let mut limits = locked(&self.limits);
+        (limits.connect, limits.idle) = (connect, idle);
+    }
+
+    fn limits(&self) -> Limits {
+        *locked(&self.limits)
+    }
+
     /// Names the exchange that hears how route steps end.
     pub fn connect(&self, exchange: Arc<Exchange<P::Query, P::Answer>>) {
         // Connected twice, the first stays.
@@ -208,9 +223,8 @@
 
     /// Closes connections that have been idle for long; call it now and then.
     pub fn sweep(&self) {
-        let now = Instant::now();
+        let (now, idle) = (Instant::now(), self.limits().idle);
         for pool in locked(&self.state).pools.values_mut() {
-            let idle = self.limits.idle;
             pool.idle.retain(|(connection, since)| {
                 let keep = now.duration_since(*since) < idle;
                 if !keep {
@@ -246,7 +260,7 @@
             }
             connection.link.close();
         }
-        if table.open >= self.limits.connections {
+        if table.open >= self.limits().connections {
             // Another destination's idle connection makes room.
             let oldest = table.pools.values_mut().filter(|p| !p.idle.is_empty()).min_by_key(|p| p.idle[0].1);
             oldest?.idle.remove(0).0.link.close();
@@ -259,7 +273,7 @@
     /// Opens a connection, makes the step on it if it is still wanted, and serves the connection.
     fn run_connection(&self, step: RouteStep<P::Query>, to: SocketAddr) {
         let begun = Instant::now();
-        let link = Link::connect(to, self.limits.connect);
+        let link = Link::connect(to, self.limits().connect);
         let connection = link.map(|link| Arc::new(Connection { link, to, job: Mutex::new(None) }));
         let wanted = {
             let mut state = locked(&self.state);
@@ -361,7 +375,7 @@
                     }
                     self.exchange().step_ended(id, step_end);
                 }
-                Reading::More if !end && buffer.len() <= self.limits.answer => {}
+                Reading::More if !end && buffer.len() <= self.limits().answer => {}
                 _ => break,
             }
         }
--- a/crates/destination/src/resp.rs
+++ b/crates/destination/src/resp.rs
@@ -5,12 +5,13 @@
 use exchange::StepEnd;
 use resp::{Element, Malformed, Query};
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
 
 /// Speaks RESP2 with destinations. The answer to pass back is the value with its frame, as it came.
 #[derive(Debug)]
 pub struct RespDestination {
     /// The names under which a load report gives each of the settings' columns.
-    pub columns: Vec<Load>,
+    columns: Mutex<Arc<[Load]>>,
 }
 
 impl Protocol for RespDestination {
@@ -34,6 +35,16 @@
 type Answer = (usize, StepEnd<Vec<u8>>);
 
 impl RespDestination {
+    /// Reports give values for these columns.
+    pub fn new(columns: &[Load]) -> Self {
+        Self { columns: Mutex::new(columns.into()) }
+    }
+
+    /// Reports give values for other columns from now on.
+    pub fn set_columns(&self, columns: &[Load]) {
+        *link::locked(&self.columns) = columns.into();
+    }
+
     /// The answer at the start of the buffer. It is looked at piece by piece, so that bytes from which no answer can
     /// come are found before more of them are waited for.
     fn answer(&self, buffer: &[u8]) -> Result<Option<Answer>, Malformed> {
@@ -77,7 +88,8 @@
     /// or tells in no number, is unknown and no zero: a destination must not look idle for it. Empty where nothing is
     /// known.
     fn load(&self, report: &[u8]) -> Vec<f32> {
-        let mut values = vec![f32::NAN; self.columns.len()];
+        let columns = link::locked(&self.columns).clone();
+        let mut values = vec![f32::NAN; columns.len()];
         for (name, value) in resp::fields(report, 0..report.len()) {
             let column = match &report[name] {
                 b"inflight" | b"active" => Load::Active,
@@ -89,7 +101,7 @@
             };
             let value = std::str::from_utf8(&report[value]).ok().and_then(|v| v.parse::<f32>().ok());
             let value = value.filter(|v| v.is_finite() && *v >= 0.0);
-            if let (Some(at), Some(value)) = (self.columns.iter().position(|&c| c == column), value) {
+            if let (Some(at), Some(value)) = (columns.iter().position(|&c| c == column), value) {
                 values[at] = value;
             }
         }
--- a/crates/destination/tests/resp.rs
+++ b/crates/destination/tests/resp.rs
@@ -6,7 +6,7 @@
 use resp::Query;
 
 fn destination() -> RespDestination {
-    RespDestination { columns: vec![Load::Active, Load::Waiting, Load::ServiceMs] }
+    RespDestination::new(&[Load::Active, Load::Waiting, Load::ServiceMs])
 }
 
 fn query() -> Query {
--- a/crates/exchange/src/core.rs
+++ b/crates/exchange/src/core.rs
@@ -76,7 +76,8 @@
     gateway: Gateway,
     max_attempts: usize,
     counter_wait: Micros,
-    tick: Micros,
+    /// Timers that are due within this span of each other may run together: the module's own tick.
+    pub(crate) tick: Micros,
     /// The service of each class, and of each destination that is known.
     services: Vec<u16>,
     places: HashMap<u32, u16>,
@@ -298,6 +299,16 @@
         self.count_end(class, 1);
     }
 
+    pub(crate) fn resettle(&mut self, settings: Settings) -> Result<(), SettingsError> {
+        let (max_attempts, wait, tick) = (settings.max_attempts, settings.counter_wait, settings.tick);
+        let services: Vec<u16> = settings.classes.iter().map(|c| c.service).collect();
+        self.gateway.resettle(settings)?;
+        (self.max_attempts, self.counter_wait, self.tick) = (max_attempts as usize, wait, tick);
+        self.ends.classes.resize(self.ends.classes.len().max(services.len()), [0; 3]);
+        self.services = services;
+        Ok(())
+    }
+
     pub(crate) fn gateway(&mut self) -> &mut Gateway {
         &mut self.gateway
     }
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -167,8 +167,6 @@
 /// Where the front and the destination side meet.
 pub struct Exchange<Q, A> {
     clock: Clock,
-    /// Timers that are due within this span of each other may run together: the module's own tick.
-    grain: Micros,
     core: Mutex<core::Core<Q, A>>,
     destinations: OnceLock<Arc<dyn Destinations<Q>>>,
     counter: OnceLock<Arc<dyn QuotaCounter>>,
@@ -182,10 +180,9 @@
     ///
     /// The settings cannot be used.
     pub fn new(settings: Settings, seed: u64, clock: Clock) -> Result<Arc<Self>, SettingsError> {
-        let grain = settings.tick;
         let core = Mutex::new(core::Core::new(settings, seed, clock.now())?);
         let (destinations, counter, waker) = (OnceLock::new(), OnceLock::new(), OnceLock::new());
-        Ok(Arc::new(Self { clock, grain, core, destinations, counter, waker }))
+        Ok(Arc::new(Self { clock, core, destinations, counter, waker }))
     }
 
     /// Names the two sides that carry out what the module asks for.
@@ -238,6 +235,15 @@
         self.drive(|core, now| core.feed(now, Event::Held { backend: destination, held }));
     }
 
+    /// Goes on by other settings, in which classes and plans have the numbers that they had.
+    ///
+    /// # Errors
+    ///
+    /// The settings cannot be used; nothing has changed.
+    pub fn resettle(&self, settings: Settings) -> Result<(), SettingsError> {
+        self.lock().resettle(settings)
+    }
+
     /// Gives what the module knows to the program that takes this one's place. Fronts must let nothing in any more.
     pub fn hand_over(&self) -> Carried {
         self.lock().gateway().hand_over()
@@ -269,7 +275,7 @@
         self.drive(core::Core::run_due);
         let mut core = self.lock();
         let now = self.clock.now();
-        core.awake_at = core.timers.next().map(|at| at.max(now + self.grain));
+        core.awake_at = core.timers.next().map(|at| at.max(now + core.tick));
         core.awake_at.map(|at| at - now)
     }
 
@@ -297,7 +303,7 @@
         let mut core = self.lock();
         change(&mut core, self.clock.now());
         let next = core.timers.next();
-        if next.is_some_and(|at| core.awake_at.is_none_or(|awake| at + self.grain < awake)) {
+        if next.is_some_and(|at| core.awake_at.is_none_or(|awake| at + core.tick < awake)) {
             core.awake_at = next;
             if let Some(waker) = self.waker.get() {
                 waker();
--- a/crates/front_resp/src/lib.rs
+++ b/crates/front_resp/src/lib.rs
@@ -46,7 +46,7 @@
 /// The front with all its sockets.
 pub struct Front {
     exchange: Arc<RespExchange>,
-    rules: Rules,
+    rules: Mutex<Arc<Rules>>,
     most: Box<dyn Fn() -> usize + Send + Sync>,
     ready: AtomicBool,
     closing: AtomicBool,
@@ -171,11 +171,16 @@
         most: impl Fn() -> usize + Send + Sync + 'static,
     ) -> Arc<Self> {
         let (ready, closing, frozen) = Default::default();
-        let most = Box::new(most);
+        let (most, rules) = (Box::new(most), Mutex::new(Arc::new(rules)));
         let (sockets, open_ids, heir) = Default::default();
         Arc::new(Self { exchange, rules, most, ready, closing, heir, frozen, sockets, open_ids })
     }
 
+    /// Holds requests to other rules from now on.
+    pub fn set_rules(&self, rules: Rules) {
+        *locked(&self.rules) = Arc::new(rules);
+    }
+
     /// From now on `PING` is answered.
     pub fn set_ready(&self) {
         self.ready.store(true, Ordering::Release);
@@ -521,7 +526,8 @@
         if name.eq_ignore_ascii_case(b"CLIENT") || name.eq_ignore_ascii_case(b"SELECT") {
             return Ask::Answer(b"+OK\r\n");
         }
-        let (operation, id) = match self.rules.operation(raw, words) {
+        let rules = locked(&self.rules).clone();
+        let (operation, id) = match rules.operation(raw, words) {
             Ok(found) => found,
             Err(text) => return Ask::Error(text),
         };
--- a/crates/front_resp/src/requests.rs
+++ b/crates/front_resp/src/requests.rs
@@ -19,19 +19,21 @@
 pub struct ClassRule {
     /// Its name.
     pub name: String,
+    /// Its number.
+    pub number: u16,
     /// It is safe to repeat, and so served by `SVC.QUERY`; others come as `SVC.SUBMIT`.
     pub repeatable: bool,
     /// ms; its deadline.
     pub deadline_ms: u64,
 }
 
-/// What requests are held to. Classes and plans are numbered as in the settings.
+/// What requests are held to.
 #[derive(Clone, Debug)]
 pub struct Rules {
     /// The classes.
     pub classes: Vec<ClassRule>,
-    /// Names of the plans.
-    pub plans: Vec<String>,
+    /// Names and numbers of the plans.
+    pub plans: Vec<(String, u32)>,
     /// How many gatekeepers there are.
     pub gatekeepers: u64,
     /// The most units of one request, where the settings name them.
@@ -74,13 +76,12 @@
         }
         let list = words[3].clone();
         let values = Values::read(raw, list.clone()).ok_or("a malformed list of values")?;
-        let class = self.classes.iter().position(|c| Some(c.name.as_str()) == values.class);
-        let class = class.ok_or("no such class")?;
-        let rule = &self.classes[class];
+        let rule = self.classes.iter().find(|c| Some(c.name.as_str()) == values.class);
+        let rule = rule.ok_or("no such class")?;
         if rule.repeatable != repeatable {
             return Err("the class has another command");
         }
-        let plan = self.plans.iter().position(|p| Some(p.as_str()) == values.plan).ok_or("no such plan")?;
+        let plan = self.plans.iter().find(|p| Some(p.0.as_str()) == values.plan).ok_or("no such plan")?;
         let longest = rule.deadline_ms.saturating_mul(LONGEST_WAIT).max(1);
         let wait_ms = values.wait.and_then(whole).filter(|d| (1..=longest).contains(d));
         let wait_ms = wait_ms.ok_or("d is out of range")?;
@@ -95,8 +96,8 @@
             return Err("first is out of range");
         }
         let operation = Operation {
-            class: class as u16,
-            plan: plan as u32,
+            class: rule.number,
+            plan: plan.1,
             customer,
             time_left: (wait_ms * 1000).saturating_sub(MARGIN).max(1000),
             set_size: spread as f64,
@@ -152,10 +153,13 @@
     const GOOD: &str = "c=lookup,t=team,d=480,units=2,spread=3,first=1";
 
     fn ask(words: &[&str]) -> Result<Operation<Query>, &'static str> {
-        let class = |name: &str, repeatable| ClassRule { name: name.into(), repeatable, deadline_ms: 2500 };
+        let class = |name: &str, number, repeatable| {
+            let (name, deadline_ms) = (name.into(), 2500);
+            ClassRule { name, number, repeatable, deadline_ms }
+        };
         let rules = Rules {
-            classes: vec![class("lookup", true), class("notice", false)],
-            plans: vec!["team".into()],
+            classes: vec![class("lookup", 0, true), class("notice", 1, false)],
+            plans: vec![("team".into(), 0)],
             gatekeepers: 4,
             largest: Some(8.0),
         };
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -2,6 +2,11 @@
 
 pub mod appliance;
 pub mod cluster;
+mod shape;
+mod tables;
+
+pub use shape::Shape;
+pub use tables::Tables;
 
 use dewproxy::interface as module;
 use serde::Deserialize;
@@ -96,6 +101,29 @@
     pub boot_ms: u64,
 }
 
+/// Attempts of one request are counted in a byte.
+const MOST_ATTEMPTS: u64 = 250;
+
+/// A deadline or a number of attempts: a number above 0, also where it is written with a point.
+fn above_zero<'de, D: serde::Deserializer<'de>>(from: D) -> Result<u64, D::Error> {
+    #[derive(Deserialize)]
+    #[serde(untagged)]
+    enum Value {
+        Number(f64),
+        Other(serde::de::IgnoredAny),
+    }
+    let value = match Value::deserialize(from)? {
+        Value::Number(value) if (1.0..1e15).contains(&value) => value,
+        Value::Number(value) => {
+            return Err(serde::de::Error::custom(format!("{value} is no number above 0")));
+        }
+        Value::Other(_) => {
+            return Err(serde::de::Error::custom("a deadline or max-attempts is no number above 0"));
+        }
+    };
+    Ok(value as u64)
+}
+
 fn one() -> f64 {
     1.0
 }
@@ -165,6 +193,7 @@
 struct FileClass {
     name: String,
     goal_time_us: u64,
+    #[serde(deserialize_with = "above_zero")]
     deadline_us: u64,
     effect: String,
     #[serde(default)]
@@ -202,7 +231,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case", default)]
 struct FileBounds {
-    max_attempts: u32,
+    #[serde(deserialize_with = "above_zero")]
+    max_attempts: u64,
     second_copies: bool,
     probing: bool,
     cancel: bool,
@@ -295,6 +325,14 @@
     let counter = file.counter.as_deref().map(|text| address("counter", text)).transpose()?;
     let operator = file.operator.as_deref().map(|text| address("operator", text)).transpose()?;
     let s = file.settings;
+    for (what, names) in [
+        ("classes", s.classes.iter().map(|c| c.name.as_str()).collect::<Vec<_>>()),
+        ("contracts", s.contracts.iter().map(|p| p.name.as_str()).collect()),
+    ] {
+        if let Some(twice) = names.iter().enumerate().find(|(at, name)| names[..*at].contains(name)) {
+            return Err(ConfigError(format!("{what}: {:?} stands there twice", twice.1)));
+        }
+    }
     let names = |list: &[FileClass]| list.iter().map(|c| c.name.clone()).collect();
     Ok(Config {
         listen: address("listen", &file.listen)?,
@@ -324,7 +362,7 @@
         tick: s.tick_us,
         classes: s.classes.into_iter().map(class).collect::<Result<_, _>>()?,
         plans: s.contracts.into_iter().map(plan).collect(),
-        max_attempts: s.bounds.max_attempts,
+        max_attempts: s.bounds.max_attempts.min(MOST_ATTEMPTS) as u32,
         second_copies: s.bounds.second_copies,
         probing: s.bounds.probing,
         cancel: s.bounds.cancel,
--- a/crates/snowfield/src/appliance.rs
+++ b/crates/snowfield/src/appliance.rs
@@ -78,7 +78,7 @@
     signals::serve_until(
         caught,
         &door,
-        Duration::from_millis(longest),
+        || Duration::from_millis(longest),
         // Routes, lenders and plans are part of the decisions in hand: they change with a restart, which loses nothing.
         || match &cluster {
             Some(cluster) => duties::reload(path, cluster),
--- a/crates/snowfield/src/desk.rs
+++ b/crates/snowfield/src/desk.rs
@@ -26,7 +26,8 @@
     exchange: Arc<RespExchange>,
     pools: Arc<Pools<RespDestination>>,
     hosts: Arc<Mutex<Hosts>>,
-    classes: Vec<String>,
+    /// Names of the classes and of the plans by number.
+    names: Mutex<(Vec<String>, Vec<String>)>,
     /// Where holds are kept for the program that comes next.
     folder: Option<PathBuf>,
     /// The program that this one takes the place of, or that takes this one's, and calls to it that wait for an answer.
@@ -38,16 +39,25 @@
 }
 
 impl Desk {
-    /// A desk that is not ready yet. `classes` are the names of the classes by number.
+    /// A desk that is not ready yet.
     pub fn new(
         exchange: Arc<RespExchange>,
         pools: Arc<Pools<RespDestination>>,
         hosts: Arc<Mutex<Hosts>>,
-        classes: Vec<String>,
         folder: Option<PathBuf>,
     ) -> Self {
-        let (peer, calls, stage, reloads, reload_errors) = Default::default();
-        Self { exchange, pools, hosts, classes, folder, peer, calls, stage, reloads, reload_errors }
+        let (names, peer, calls, stage, reloads, reload_errors) = Default::default();
+        Self { exchange, pools, hosts, names, folder, peer, calls, stage, reloads, reload_errors }
+    }
+
+    /// Names the classes and the plans by number.
+    pub fn set_names(&self, classes: Vec<String>, plans: Vec<String>) {
+        *locked(&self.names) = (classes, plans);
+    }
+
+    /// Names of the classes and of the plans by number.
+    pub fn names(&self) -> (Vec<String>, Vec<String>) {
+        locked(&self.names).clone()
     }
 
     /// Takes up the holds that an earlier program has left.
@@ -152,14 +162,20 @@
 
     fn figures(&self) -> Figures {
         let (ends, members) = self.exchange.ends();
-        let class = |(name, [completed, rejected, failed]): (&String, &[u64; 3])| ClassFigures {
-            name: name.clone(),
-            completed: *completed,
-            rejected: *rejected,
-            failed: *failed,
-        };
+        // A class that came back otherwise than it was is another number of the same name.
+        let mut classes: Vec<ClassFigures> = Vec::new();
+        for (name, [completed, rejected, failed]) in locked(&self.names).0.iter().zip(&ends.classes) {
+            let at = classes.iter().position(|c| c.name == *name).unwrap_or_else(|| {
+                classes.push(ClassFigures { name: name.clone(), ..ClassFigures::default() });
+                classes.len() - 1
+            });
+            let class = &mut classes[at];
+            class.completed += completed;
+            class.rejected += rejected;
+            class.failed += failed;
+        }
         Figures {
-            classes: self.classes.iter().zip(&ends.classes).map(class).collect(),
+            classes,
             upstream_requests: self.pools.written(),
             pending: ends.pending,
             members: members.listed,
--- a/crates/snowfield/src/platform.rs
+++ b/crates/snowfield/src/platform.rs
@@ -6,15 +6,16 @@
 use crate::{signals, upgrade};
 use counter::CounterClient;
 use destination::{Limits, Pools, RespDestination};
-use dewproxy::interface::{Effect, ListKind};
+use dewproxy::interface::{Effect, ListKind, Micros};
 use discovery::{Pace, Watch};
 use exchange::{Clock, Exchange};
 use front_resp::{ClassRule, Front, Rules};
 use handover::Place;
 use link::{Door, spawn, spawn_with};
-use settings::Config;
+use settings::{Config, Shape, Tables};
+use std::io::Read;
 use std::path::PathBuf;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::sync_channel;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -37,19 +38,25 @@
     // Before all else: SIGHUP must not end the program, however early it comes.
     let caught = signals::catch()?;
     let path = std::env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG names no configuration file")?;
-    let mut config = read(&path)?;
+    let (mut config, shape) = read(&path)?;
     if let Ok(at) = std::env::var("BALANCER_OPERATOR") {
         let at = at.parse().map_err(|_| format!("BALANCER_OPERATOR: {at:?} is no address and port"))?;
         config.operator = Some(at);
     }
     link::set_up();
-    let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
-    let Parts { front, door, watch, counter, desk, upgrade } = start(config)?;
+    let parts = start(config, shape)?;
+    let Parts { front, door, desk, upgrade, .. } = &parts;
     signals::serve_until(
         caught,
-        &door,
-        Duration::from_micros(longest),
-        || desk.reloaded(reload(&path, &watch, counter.as_deref())),
+        door,
+        || Duration::from_micros(parts.longest.load(Ordering::Relaxed)),
+        || {
+            let taken = parts.reload(&path);
+            if let Err(text) = &taken {
+                println!("reload: {text}; the old settings stay");
+            }
+            desk.reloaded(taken.is_ok());
+        },
         || {
             desk.set_ending();
             front.close();
@@ -59,51 +66,46 @@
     Ok(())
 }
 
-fn read(path: &str) -> Result<Config, String> {
-    let mut json = std::fs::read(path).map_err(|e| format!("{path}: {e}"))?;
-    settings::parse(&mut json).map_err(|e| format!("{path}: {e}"))
-}
+/// The most bytes of a configuration.
+const LARGEST_FILE: u64 = 16 * 1024 * 1024;
 
-/// Takes the addresses of discovery and the counter from the file as it is now. Runs on a thread of its own, with room
-/// for reading JSON, while the worker serves on.
-fn reload(path: &str, watch: &Watch, counter: Option<&CounterClient>) -> bool {
-    let config = match read(path) {
-        Ok(config) => config,
-        Err(text) => {
-            println!("reload: {text}; the old settings stay");
-            return false;
-        }
-    };
-    let discovery = if watch.move_to(config.discovery) { "moved to" } else { "stays at" };
-    println!("reload: discovery {discovery} {}", config.discovery);
-    match (counter, config.counter) {
-        (Some(client), Some(at)) => {
-            let counter = if client.move_to(at) { "moved to" } else { "stays at" };
-            println!("reload: the counter {counter} {at}");
-        }
-        (None, None) => {}
-        (Some(_), None) => println!("reload: the file names no counter any more; the old one stays"),
-        (None, Some(at)) => println!("reload: a counter at {at} is used only after a restart"),
+fn read(path: &str) -> Result<(Config, Shape), String> {
+    let named = |e: &dyn std::fmt::Display| format!("{path}: {e}");
+    let mut json = Vec::new();
+    let file = std::fs::File::open(path).map_err(|e| named(&e))?;
+    file.take(LARGEST_FILE + 1).read_to_end(&mut json).map_err(|e| named(&e))?;
+    if json.len() as u64 > LARGEST_FILE {
+        return Err(named(&"it is too long"));
     }
-    true
+    let shape = Shape::of(&mut json.clone()).map_err(|e| named(&e))?;
+    Ok((settings::parse(&mut json).map_err(|e| named(&e))?, shape))
 }
 
 /// What the settings ask of a request.
-fn rules(config: &Config) -> Rules {
-    let classes = config.classes.iter().zip(&config.settings.classes);
-    let classes = classes.map(|(name, class)| ClassRule {
-        name: name.clone(),
+fn rules(config: &Config, tables: &Tables) -> Rules {
+    let classes = tables.classes().map(|(number, name, class)| ClassRule {
+        name: name.to_owned(),
+        number: number as u16,
         repeatable: class.effect == Effect::Safe,
         deadline_ms: class.deadline.div_ceil(1000),
     });
     Rules {
         classes: classes.collect(),
-        plans: config.plans.clone(),
+        plans: tables.plans().map(|(number, name)| (name.to_owned(), number as u32)).collect(),
         gatekeepers: u64::from(config.settings.gateways),
         largest: config.largest,
     }
 }
 
+/// How long a connection may take to be made, and to be idle.
+fn spans(config: &Config) -> (Duration, Duration) {
+    (Duration::from_micros(config.settings.connect_timeout), Duration::from_micros(config.keepalive / 2))
+}
+
+fn longest(config: &Config) -> Micros {
+    config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0)
+}
+
 /// What signals act on.
 struct Parts {
     front: Arc<Front>,
@@ -112,22 +114,61 @@
     counter: Option<Arc<CounterClient>>,
     desk: Arc<Desk>,
     upgrade: Arc<upgrade::Parts>,
+    /// The keys of the file in force, and its classes and plans with those before.
+    in_force: Mutex<(Shape, Tables)>,
+    /// us; the longest deadline of all files so far: what was taken under an older one may still be open.
+    longest: AtomicU64,
 }
 
-fn start(config: Config) -> Result<Parts, String> {
+impl Parts {
+    /// Takes the file as it is now, all of it or nothing. Runs on a thread of its own, with room for reading JSON, while the
+    /// worker serves on.
+    fn reload(&self, path: &str) -> Result<(), String> {
+        let (config, shape) = read(path)?;
+        let mut in_force = link::locked(&self.in_force);
+        in_force.0.kept_by(&shape).map_err(|e| format!("{path}: {e}"))?;
+        let mut tables = in_force.1.clone();
+        let mut settings = tables.take(&config).map_err(|e| format!("{path}: {e}"))?;
+        settings.counter &= self.counter.is_some();
+        let (connect, idle) = spans(&config);
+        let columns = settings.report.clone();
+        self.upgrade.exchange.resettle(settings).map_err(|e| format!("{path}: {e}"))?;
+        // A class has its name before anything of it can end, and is let in last.
+        self.desk.set_names(tables.class_names(), tables.plan_names());
+        self.upgrade.pools.set_spans(connect, idle);
+        self.upgrade.pools.protocol().set_columns(&columns);
+        self.longest.fetch_max(longest(&config), Ordering::Relaxed);
+        self.front.set_rules(rules(&config, &tables));
+        let names: Vec<&str> = tables.classes().map(|(_, name, _)| name).collect();
+        println!("reload: settings taken; classes {}", names.join(", "));
+        let discovery = if self.watch.move_to(config.discovery) { "moved to" } else { "stays at" };
+        println!("reload: discovery {discovery} {}", config.discovery);
+        match (&self.counter, config.counter) {
+            (Some(client), Some(at)) => {
+                let counter = if client.move_to(at) { "moved to" } else { "stays at" };
+                println!("reload: the counter {counter} {at}");
+            }
+            (None, Some(at)) => println!("reload: a counter at {at} is used only after a restart"),
+            // A file that lost its counter was turned down above.
+            (_, None) => {}
+        }
+        *in_force = (shape, tables);
+        Ok(())
+    }
+}
+
+fn start(config: Config, shape: Shape) -> Result<Parts, String> {
     let clock = Clock::start();
     let spare = SPARE_SOCKETS + config.operator.map_or(0, |_| DOOR_SOCKETS);
     let sockets = config.sockets.saturating_sub(spare).max(16);
-    let limits = Limits {
-        connect: Duration::from_micros(config.settings.connect_timeout),
-        idle: Duration::from_micros(config.keepalive / 2),
-        connections: sockets / 3,
-        answer: resp::LARGEST_MESSAGE,
-    };
-    let columns = config.settings.report.clone();
-    let rules = rules(&config);
-    let exchange = Exchange::new(config.settings.clone(), config.seed, clock).map_err(|e| e.to_string())?;
-    let pools = Pools::new(RespDestination { columns }, limits);
+    let mut tables = Tables::default();
+    let settings = tables.take(&config).map_err(|e| e.to_string())?;
+    let (longest, (connect, idle)) = (AtomicU64::new(longest(&config)), spans(&config));
+    let limits = Limits { connect, idle, connections: sockets / 3, answer: resp::LARGEST_MESSAGE };
+    let rules = rules(&config, &tables);
+    let protocol = RespDestination::new(&settings.report);
+    let exchange = Exchange::new(settings, config.seed, clock).map_err(|e| e.to_string())?;
+    let pools = Pools::new(protocol, limits);
     pools.connect(exchange.clone());
     let counter = config.counter.map(|at| CounterClient::of(at, exchange.clone()));
     let calls = counter.clone().map(|c| c as Arc<dyn exchange::QuotaCounter>);
@@ -136,9 +177,8 @@
     let hosts = Arc::new(Mutex::new(Hosts::new(&config)));
     // Only who is operated can be asked whether it is ready, and so be started beside another.
     let folder = config.operator.and_then(|_| std::env::var_os("TMPDIR")).map(PathBuf::from);
-    let (classes, plans) = (config.classes.clone(), config.plans.clone());
-    let desk = Desk::new(exchange.clone(), pools.clone(), hosts.clone(), classes.clone(), folder.clone());
-    let desk = Arc::new(desk);
+    let desk = Arc::new(Desk::new(exchange.clone(), pools.clone(), hosts.clone(), folder.clone()));
+    desk.set_names(tables.class_names(), tables.plan_names());
     if let Some(at) = config.operator {
         let at = door::open(at, desk.clone()).map_err(|e| format!("operator {at}: {e}"))?;
         println!("{}: operators are answered on {at}", config.name);
@@ -185,8 +225,6 @@
         pools,
         hosts,
         front: front.clone(),
-        classes,
-        plans,
         passing: Default::default(),
     });
     let mut taken = None;
@@ -220,5 +258,6 @@
     if let Some(old) = old {
         upgrade.follow(old);
     }
-    Ok(Parts { front, door, watch, counter, desk, upgrade })
+    let in_force = Mutex::new((shape, tables));
+    Ok(Parts { front, door, watch, counter, desk, upgrade, in_force, longest })
 }
--- a/crates/snowfield/src/signals.rs
+++ b/crates/snowfield/src/signals.rs
@@ -26,7 +26,7 @@
 pub fn serve_until(
     mut signals: Signals,
     door: &Door,
-    longest: Duration,
+    longest: impl Fn() -> Duration,
     reload: impl Fn(),
     close: impl Fn(),
     open: impl Fn() -> usize,
@@ -41,7 +41,7 @@
     std::thread::sleep(OVERLAP);
     door.shut();
     close();
-    let begun = Instant::now();
+    let (begun, longest) = (Instant::now(), longest());
     while open() > 0 && begun.elapsed() < longest + LAST_CALL {
         std::thread::sleep(Duration::from_millis(5));
     }
--- a/crates/snowfield/src/upgrade.rs
+++ b/crates/snowfield/src/upgrade.rs
@@ -28,9 +28,6 @@
     pub pools: Arc<Pools<RespDestination>>,
     pub hosts: Arc<Mutex<Hosts>>,
     pub front: Arc<Front>,
-    /// Names of the classes and of the plans, by number.
-    pub classes: Vec<String>,
-    pub plans: Vec<String>,
     /// Connections that are on their way to the other program.
     pub passing: AtomicUsize,
 }
@@ -76,7 +73,8 @@
                 let hosts = locked(&self.hosts);
                 let number = |(theirs, id): (u32, String)| Some((theirs, hosts.number(&id)?));
                 let numbers: HashMap<u32, u32> = destinations.into_iter().filter_map(number).collect();
-                let (plans, classes) = (places(&plans, &self.plans), places(&classes, &self.classes));
+                let ours = self.desk.names();
+                let (plans, classes) = (places(&plans, &ours.1), places(&classes, &ours.0));
                 self.exchange.take_over(carried.renumbered(&numbers, &plans, &classes));
             }
             Err(why) => {
@@ -172,13 +170,14 @@
             let _ = tell.send(parts.exchange.hand_over());
         });
         let carried = told.recv_timeout(STEP).map_err(|e| e.to_string())?;
+        let (classes, plans) = self.desk.names();
         let message = {
             let hosts = locked(&self.hosts);
             Message::State {
                 module: postcard::to_stdvec(&carried).map_err(|e| e.to_string())?,
                 destinations: hosts.listed(),
-                plans: self.plans.clone(),
-                classes: self.classes.clone(),
+                plans,
+                classes,
                 held: hosts.held().map(str::to_owned).collect(),
             }
         };
--- a/src/carry.rs
+++ b/src/carry.rs
@@ -1,9 +1,9 @@
-//! What one gateway hands to the one that takes its place: its memory as plain data, no decision. The giver lets nothing in
-//! from then on, so each store and each right has one owner.
+//! What one gateway hands to the one that takes its place, and what it keeps when its settings change: its memory as plain
+//! data, no decision. The giver lets nothing in from then on, so each store and each right has one owner.
 
 use super::{DUST, Gateway};
-use crate::interface::{Event, ListKind, Micros};
-use crate::state::{Backend, Counter, Customer, Fleet, Kind};
+use crate::interface::{Event, ListKind, Micros, Settings, SettingsError};
+use crate::state::{Backend, Counter, Customer, Fleet, Health, Kind};
 use crate::trend::Trend;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
@@ -119,7 +119,35 @@
             Fleet { since: fleet.since.min(self.now), learned: fleet.learned.min(self.now), ..fleet };
         self.fleet.last_send = self.fleet.last_send.min(self.now);
         self.copies = if copies.is_finite() { copies } else { 0.0 };
-        // The order of the backends is its own.
+        self.order_backends();
+    }
+
+    /// Goes on by other settings. Classes and plans keep their numbers: those that the new settings do not have stay as they
+    /// were, for what is under way.
+    ///
+    /// # Errors
+    ///
+    /// Returns what [`Settings::validate`] finds; nothing has changed then.
+    pub fn resettle(&mut self, mut settings: Settings) -> Result<(), SettingsError> {
+        let unknown = self.s.plans.len() - 1;
+        settings.classes.extend(self.s.classes.iter().skip(settings.classes.len()).cloned());
+        settings.plans.extend(self.s.plans[..unknown].iter().skip(settings.plans.len()).cloned());
+        let fresh = Self::new(settings, 0, self.now)?;
+        let classes = fresh.s.classes.len();
+        let to = fresh.s.plans.len() - 1;
+        self.customers.values_mut().filter(|c| c.plan == unknown).for_each(|c| c.plan = to);
+        self.requests.values_mut().filter(|r| r.plan == unknown).for_each(|r| r.plan = to);
+        self.kinds.extend(fresh.kinds.into_iter().skip(self.kinds.len()));
+        for b in self.backends.values_mut() {
+            b.health.resize(classes, Health { answered: self.now, sick: None });
+        }
+        (self.s, self.top_worth) = (fresh.s, fresh.top_worth);
+        self.order_backends();
+        Ok(())
+    }
+
+    /// The order of the backends is made anew.
+    fn order_backends(&mut self) {
         let event = Event::Backends { kind: ListKind::Changes, entries: Vec::new() };
         self.handle(self.now, event, &mut Vec::new());
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -30,7 +30,7 @@
 }
 
 /// A class of requests.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// An answer inside this span earns the full worth.
     pub aim: Micros,
@@ -51,7 +51,7 @@
 }
 
 /// A plan: the quotas of each of its customers, over all gateways together.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Plan {
     /// Units a second; 0 means no such quota.
     pub rate: f64,
