Pass values of more than 64 KiB on as they come, at the pace of their clients

Change: destination side and front share a stream, a bounded window under one budget; the module hears of the first bytes, the figures of the end. A value that breaks off or has no sound end closes its client's connection.

--- a/crates/destination/src/http.rs
+++ b/crates/destination/src/http.rs
@@ -36,6 +36,7 @@
                     outcome: if served { Outcome::Ok } else { Outcome::Error },
                     answer: served.then_some(answer),
                     load: Vec::new(),
+                    goes_on: false,
                 };
                 Reading::Whole { used, keep, end }
             }
--- a/crates/destination/src/lib.rs
+++ b/crates/destination/src/lib.rs
@@ -5,7 +5,7 @@
 //! pool at once.
 
 use dewproxy::interface::{ListKind, Micros, Outcome, State};
-use exchange::{Destinations, Exchange, RouteStep, StepEnd, StepId};
+use exchange::{Budget, Destinations, Exchange, RouteStep, StepEnd, StepId, StreamIn, StreamOut};
 use link::{Incoming, Link, locked, spawn};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -26,6 +26,10 @@
 /// A connection rests this long after an answer before it carries the next step. Bytes that come behind an answer, a
 /// second copy or noise, would else be read as the answer to the next request.
 const REST: Duration = Duration::from_millis(5);
+/// A long answer that does not move for this long has been forgotten by its destination or its client. Peers take seconds.
+const STALLED: Duration = Duration::from_secs(15);
+/// The most bytes that stand behind the value of a long answer.
+const LARGEST_TAIL: usize = 64 * 1024;
 
 /// What came of the bytes at hand.
 #[derive(Debug)]
@@ -41,6 +45,19 @@
         /// How the route step ended.
         end: StepEnd<A>,
     },
+    /// A long answer has begun: it is passed on as it comes.
+    Long {
+        /// The bytes before its value.
+        used: usize,
+        /// What the client gets before the value.
+        head: Vec<u8>,
+        /// The bytes of the value.
+        length: usize,
+        /// The items that stand behind it.
+        behind: usize,
+        /// Makes the stream an answer.
+        answer: fn(StreamOut) -> A,
+    },
     /// No valid answer can come any more.
     Malformed(&'static str),
 }
@@ -55,6 +72,19 @@
     fn write(&self, query: &Self::Query, to: SocketAddr, time_left: Micros, out: &mut Vec<u8>);
     /// A destination has answered well. What has no use for that does nothing.
     fn served(&self, _destination: u32) {}
+    /// Looks at what stands behind the value of a long answer: the bytes that it took and what of them belongs to the value, or
+    /// `None` where more must come.
+    ///
+    /// # Errors
+    ///
+    /// It is not sound, and so the value may not be.
+    fn after_value(
+        &self,
+        _behind: usize,
+        _buffer: &[u8],
+    ) -> Result<Option<(usize, &'static [u8])>, &'static str> {
+        Err("no long answers here")
+    }
     /// Looks for an answer at the start of the buffer; `end` tells that no more bytes will come.
     fn read(&self, query: &Self::Query, buffer: &[u8], end: bool) -> Reading<Self::Answer>;
 }
@@ -68,8 +98,10 @@
     pub idle: Duration,
     /// Connections to all destinations together.
     pub connections: usize,
-    /// The most bytes of one answer.
+    /// The most bytes of one answer that is held whole.
     pub answer: usize,
+    /// The bytes that all answers may hold together which are passed on as they come.
+    pub streams: usize,
 }
 
 /// A destination as discovery tells of it.
@@ -94,6 +126,7 @@
     state: Mutex<Table<P::Query>>,
     /// Route steps whose last byte the system has taken.
     written: AtomicU64,
+    budget: Arc<Budget>,
 }
 
 struct Table<Q> {
@@ -105,6 +138,8 @@
     held: HashSet<u32>,
     /// Another program takes this one's place: no connection is kept.
     retired: bool,
+    /// Connections that bring long answers.
+    streaming: Vec<Weak<Connection<Q>>>,
 }
 
 struct Pool<Q> {
@@ -118,6 +153,14 @@
     On(Arc<Connection<Q>>),
 }
 
+/// A long answer that has begun; see [`Reading::Long`].
+struct Long<A> {
+    head: Vec<u8>,
+    length: usize,
+    behind: usize,
+    answer: fn(StreamOut) -> A,
+}
+
 /// A connection for a step, or none where it must be made, and its destination's address.
 type Carrier<Q> = (Option<Arc<Connection<Q>>>, SocketAddr);
 
@@ -139,9 +182,10 @@
     /// Pools that know no destination yet.
     pub fn new(protocol: P, limits: Limits) -> Arc<Self> {
         let (pools, busy, held) = Default::default();
-        let state = Mutex::new(Table { pools, busy, open: 0, held, retired: false });
+        let state = Mutex::new(Table { pools, busy, open: 0, held, retired: false, streaming: Vec::new() });
+        let budget = Budget::new(limits.streams);
         let (exchange, written, limits) = (OnceLock::new(), AtomicU64::new(0), Mutex::new(limits));
-        Arc::new_cyclic(|me| Self { me: me.clone(), protocol, limits, exchange, state, written })
+        Arc::new_cyclic(|me| Self { me: me.clone(), protocol, limits, exchange, state, written, budget })
     }
 
     /// How destinations are spoken to.
@@ -233,6 +277,10 @@
                 keep
             });
         }
+        // Each looks by itself whether it still moves.
+        let mut state = locked(&self.state);
+        state.streaming.retain(|c| c.upgrade().is_some_and(|c| !c.link.is_closed()));
+        state.streaming.iter().filter_map(Weak::upgrade).for_each(|c| c.link.wake());
     }
 
     /// Connections that are open or being made.
@@ -375,6 +423,22 @@
                     }
                     self.exchange().step_ended(id, step_end);
                 }
+                Reading::Long { used, head, length, behind, answer } => {
+                    let wanted = locked(&self.state).busy.remove(&id).is_some();
+                    *locked(&connection.job) = None;
+                    if wanted {
+                        buffer.drain(..used);
+                        let long = Long { head, length, behind, answer };
+                        let kept = self.pass_on(id, connection, &mut buffer, &long);
+                        buffer = Vec::new();
+                        if kept {
+                            self.protocol.served(destination);
+                            self.keep(destination, connection);
+                            continue;
+                        }
+                    }
+                    break;
+                }
                 Reading::More if !end && buffer.len() <= self.limits().answer => {}
                 _ => break,
             }
@@ -397,6 +461,84 @@
         }
     }
 
+    /// Passes a long answer on as it comes, at the pace of its client. For the module the step ends with the first bytes. Tells
+    /// whether the answer is whole and the connection good for another step.
+    fn pass_on(
+        &self,
+        id: StepId,
+        connection: &Arc<Connection<P::Query>>,
+        buffer: &mut Vec<u8>,
+        long: &Long<P::Answer>,
+    ) -> bool {
+        let waker = Arc::downgrade(connection);
+        let room = move || {
+            if let Some(connection) = waker.upgrade() {
+                connection.link.wake();
+            }
+        };
+        let (stream, out) = exchange::stream(&self.budget, Box::new(room));
+        locked(&self.state).streaming.push(Arc::downgrade(connection));
+        stream.push(&long.head);
+        let answer = Some((long.answer)(out));
+        let end = StepEnd { outcome: Outcome::Ok, answer, load: Vec::new(), goes_on: true };
+        self.exchange().step_ended(id, end);
+        let whole = self.pass_bytes(connection, buffer, (long.length, long.behind), &stream);
+        let left = stream.is_left();
+        if whole {
+            stream.finish();
+        } else {
+            drop(stream);
+        }
+        self.exchange().stream_ended(id, (!left).then_some(whole));
+        whole && buffer.is_empty() && connection.link.unsent() == 0
+    }
+
+    /// Moves the bytes of a value, and then looks at what stands behind it. Tells whether all was sound.
+    fn pass_bytes(
+        &self,
+        connection: &Connection<P::Query>,
+        buffer: &mut Vec<u8>,
+        (mut length, behind): (usize, usize),
+        stream: &StreamIn,
+    ) -> bool {
+        let mut moved = Instant::now();
+        loop {
+            if length > 0 {
+                let piece = length.min(buffer.len()).min(stream.room());
+                if piece > 0 {
+                    stream.push(&buffer[..piece]);
+                    buffer.drain(..piece);
+                    (length, moved) = (length - piece, Instant::now());
+                }
+            } else {
+                match self.protocol.after_value(behind, buffer) {
+                    Ok(Some((used, last))) => {
+                        stream.push(last);
+                        buffer.drain(..used);
+                        return true;
+                    }
+                    Ok(None) => {}
+                    Err(_) => return false,
+                }
+            }
+            if stream.is_left() || moved.elapsed() >= STALLED || buffer.len() > LARGEST_TAIL + READ {
+                return false;
+            }
+            if length > 0 && !buffer.is_empty() {
+                // The client is slow: woken when it has taken some.
+                connection.link.wait();
+                if connection.link.is_closed() {
+                    return false;
+                }
+            } else {
+                match connection.link.receive(buffer, READ) {
+                    Ok(Incoming::Bytes(_) | Incoming::Woken) => {}
+                    Ok(Incoming::End) | Err(_) => return false,
+                }
+            }
+        }
+    }
+
     fn keep(&self, destination: u32, connection: &Arc<Connection<P::Query>>) {
         let mut state = locked(&self.state);
         let fits =
--- a/crates/destination/src/resp.rs
+++ b/crates/destination/src/resp.rs
@@ -2,7 +2,7 @@
 
 use crate::{Protocol, Reading};
 use dewproxy::interface::{Load, Micros, Outcome};
-use exchange::StepEnd;
+use exchange::{StepEnd, Value};
 use resp::{Element, Malformed, Query};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -16,13 +16,37 @@
 
 impl Protocol for RespDestination {
     type Query = Query;
-    type Answer = Vec<u8>;
+    type Answer = Value;
 
     fn write(&self, query: &Query, _to: SocketAddr, time_left: Micros, out: &mut Vec<u8>) {
         query.put((time_left / 1000).max(1), out);
     }
 
-    fn read(&self, _query: &Query, buffer: &[u8], _end: bool) -> Reading<Vec<u8>> {
+    fn after_value(
+        &self,
+        behind: usize,
+        buffer: &[u8],
+    ) -> Result<Option<(usize, &'static [u8])>, &'static str> {
+        let Some(end) = buffer.get(..2) else { return Ok(None) };
+        if end != b"\r\n" {
+            return Err("a value is longer than it says");
+        }
+        let mut at = 2;
+        for _ in 0..behind {
+            // A figure that cannot be read spoils nothing, as in a short answer.
+            let end = resp::message_end(buffer, at).or_else(|_| resp::integer_end(buffer, at));
+            match end.map_err(|Malformed(text)| text)? {
+                Some(end) => at = end,
+                None => return Ok(None),
+            }
+        }
+        Ok(Some((at, b"\r\n")))
+    }
+
+    fn read(&self, _query: &Query, buffer: &[u8], _end: bool) -> Reading<Value> {
+        if let Some(long) = long(buffer) {
+            return long;
+        }
         match self.answer(buffer) {
             Ok(Some((used, end))) => Reading::Whole { used, keep: true, end },
             Ok(None) => Reading::More,
@@ -31,8 +55,16 @@
     }
 }
 
+/// A value that is too long to be held, if one has begun.
+fn long(buffer: &[u8]) -> Option<Reading<Value>> {
+    let (Element::Array(items @ 1..), at) = resp::element(buffer, 0).ok()?? else { return None };
+    let (length, used) = resp::bulk_head(buffer, at).ok()??;
+    let (head, behind, answer) = (buffer[at..used].to_vec(), items - 1, Value::Stream as fn(_) -> _);
+    (length > resp::LARGEST_BULK).then_some(Reading::Long { used, head, length, behind, answer })
+}
+
 /// How many bytes an answer took, and what it says.
-type Answer = (usize, StepEnd<Vec<u8>>);
+type Answer = (usize, StepEnd<Value>);
 
 impl RespDestination {
     /// Reports give values for these columns.
@@ -70,15 +102,15 @@
                     }
                     from = end;
                 }
-                let answer = Some(buffer[at..after].to_vec());
-                Ok(Some((from, StepEnd { outcome: Outcome::Ok, answer, load })))
+                let answer = Some(Value::Whole(buffer[at..after].to_vec()));
+                Ok(Some((from, StepEnd { outcome: Outcome::Ok, answer, load, goes_on: false })))
             }
             Element::Error(text) => {
                 let text = &buffer[text];
                 let word = text.split(|&b| b == b' ').next().unwrap_or_default();
                 let outcome = if word == b"BUSY" { Outcome::Full } else { Outcome::Error };
                 let load = text.rsplit(|&b| b == b' ').next().map_or(Vec::new(), |last| self.load(last));
-                Ok(Some((at, StepEnd { outcome, answer: None, load })))
+                Ok(Some((at, StepEnd { load, ..StepEnd::plain(outcome) })))
             }
             _ => Err(Malformed("an answer of an unknown form")),
         }
--- a/crates/destination/tests/resp.rs
+++ b/crates/destination/tests/resp.rs
@@ -3,6 +3,7 @@
 use cuts::{same_however_cut, survives_garbage};
 use destination::{Protocol, Reading, RespDestination};
 use dewproxy::interface::{Load, Outcome};
+use exchange::Value;
 use resp::Query;
 
 fn destination() -> RespDestination {
@@ -19,11 +20,40 @@
 fn read(bytes: &[u8]) -> Option<Result<(usize, End), &'static str>> {
     match destination().read(&query(), bytes, false) {
         Reading::More => None,
-        Reading::Whole { used, end, .. } => Some(Ok((used, (end.outcome, end.answer, end.load)))),
+        Reading::Whole { used, end, .. } => {
+            let answer = end.answer.map(|answer| match answer {
+                Value::Whole(bytes) => bytes,
+                Value::Stream(_) => panic!("a whole answer holds all its bytes"),
+            });
+            Some(Ok((used, (end.outcome, answer, end.load))))
+        }
+        Reading::Long { .. } => Some(Err("a long answer")),
         Reading::Malformed(text) => Some(Err(text)),
     }
 }
 
+/// Guards the border between answers that are held and those that are passed on, and what stands behind the latter.
+#[test]
+fn long_answers_begin_with_their_head_and_end_with_a_sound_tail() {
+    let begun = |text: &str| match destination().read(&query(), text.as_bytes(), false) {
+        Reading::Long { used, head, length, behind, .. } => Some((used, head, length, behind)),
+        _ => None,
+    };
+    assert_eq!(begun("*3\r\n$65537\r\nab"), Some((12, b"$65537\r\n".to_vec(), 65_537, 2)));
+    for text in ["*3\r\n$65536\r\nab", "*3\r\n$65537", "*0\r\n", "*3\r\n$3000000000\r\n", "*3\r\n$-65537\r\n"]
+    {
+        assert_eq!(begun(text), None, "{text:?}");
+    }
+    let tail = |text: &[u8]| destination().after_value(2, text);
+    let whole = b"\r\n$-1\r\n$12\r\ninflight=7,q\r\n";
+    assert_eq!(tail(&[&whole[..], b"noise"].concat()), Ok(Some((whole.len(), &b"\r\n"[..]))));
+    (0..whole.len()).for_each(|cut| assert_eq!(tail(&whole[..cut]), Ok(None), "cut at {cut}"));
+    assert!(tail(b"xy$-1\r\n$-1\r\n").is_err() && tail(b"\r\n$-1\r\n$x\r\n").is_err());
+    survives_garbage(whole, |pieces| {
+        let _ = destination().after_value(2, &pieces.concat());
+    });
+}
+
 #[test]
 fn each_form_of_answer_has_its_outcome() {
     let load = vec![7.0, 2.0, 51.5];
--- a/crates/exchange/src/core.rs
+++ b/crates/exchange/src/core.rs
@@ -87,6 +87,8 @@
     next_call: u64,
     status: Status,
     ends: Ends,
+    /// Classes of the operations whose answers have begun and not ended, by the step that brings them.
+    streams: HashMap<StepId, u16>,
     pub(crate) effects: VecDeque<Effect<Q, A>>,
     /// Someone is carrying out effects.
     pub(crate) performing: bool,
@@ -116,6 +118,7 @@
             next_call: 0,
             status: Status::default(),
             ends,
+            streams: HashMap::new(),
             effects: VecDeque::new(),
             performing: false,
             queue: VecDeque::new(),
@@ -258,6 +261,10 @@
             return;
         }
         if let Some(answer) = end.answer.filter(|_| end.outcome == Outcome::Ok) {
+            let begun = self.operations.get(&id.operation).filter(|e| end.goes_on && !e.is_over());
+            if let Some(class) = begun.map(|e| e.class) {
+                self.streams.insert(id, class);
+            }
             self.answer(id.operation, FinalAnswer::Served(answer));
         }
         self.run_queue(now);
@@ -277,8 +284,11 @@
             FinalAnswer::Failed(_) => 2,
         };
         self.status.answers[kind] += 1;
-        self.ends.pending -= 1;
-        self.count_end(class, kind);
+        // What goes on is counted at its end.
+        if !self.streams.keys().any(|step| step.operation == id) {
+            self.ends.pending -= 1;
+            self.count_end(class, kind);
+        }
         // Before the answer goes out: what is not written yet must not be sent on after it.
         let steps = self.operations.get(&id).map_or(&[][..], |e| &e.steps);
         for (attempt, _) in steps.iter().enumerate().filter(|(_, s)| s.open) {
@@ -288,6 +298,17 @@
         self.forget(id);
     }
 
+    pub(crate) fn stream_ended(&mut self, id: StepId, whole: Option<bool>) {
+        // Nobody waited for it any more when it began.
+        let Some(class) = self.streams.remove(&id) else { return };
+        self.ends.pending -= 1;
+        match whole {
+            Some(true) => self.count_end(class, 0),
+            Some(false) => self.count_end(class, 2),
+            None => {}
+        }
+    }
+
     fn count_end(&mut self, class: u16, kind: usize) {
         if let Some(counts) = self.ends.classes.get_mut(usize::from(class)) {
             counts[kind] += 1;
--- a/crates/exchange/src/core_tests.rs
+++ b/crates/exchange/src/core_tests.rs
@@ -74,7 +74,7 @@
 }
 
 fn served(answer: &'static str) -> StepEnd<&'static str> {
-    StepEnd { outcome: Outcome::Ok, answer: Some(answer), load: Vec::new() }
+    StepEnd { answer: Some(answer), ..StepEnd::plain(Outcome::Ok) }
 }
 
 /// Runs the timers as the clock does, each at its time.
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -6,6 +6,7 @@
 //! lock is free, so either side may call back at once.
 
 mod core;
+mod stream;
 mod timers;
 
 use dewproxy::interface::{BackendEntry, Event, ListKind, Micros, Outcome, Settings, SettingsError};
@@ -13,6 +14,7 @@
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 pub use crate::core::{Ends, Status};
+pub use crate::stream::{Budget, StreamIn, StreamOut, Taken, Told, Value, stream};
 pub use dewproxy::{Carried, Members};
 
 /// The number of an operation at this gatekeeper.
@@ -72,12 +74,14 @@
     pub answer: Option<A>,
     /// The load report, by the settings' columns; empty if none.
     pub load: Vec<f32>,
+    /// The answer has begun and goes on: [`Exchange::stream_ended`] follows.
+    pub goes_on: bool,
 }
 
 impl<A> StepEnd<A> {
     /// An end that brought nothing but its outcome.
     pub fn plain(outcome: Outcome) -> Self {
-        Self { outcome, answer: None, load: Vec::new() }
+        Self { outcome, answer: None, load: Vec::new(), goes_on: false }
     }
 }
 
@@ -216,6 +220,12 @@
         self.drive(|core, now| core.step_ended(now, id, end));
     }
 
+    /// An answer that went on has ended: whole, broken off, or `None` where its client left. For the module its step has ended
+    /// long before.
+    pub fn stream_ended(&self, id: StepId, whole: Option<bool>) {
+        self.lock().stream_ended(id, whole);
+    }
+
     /// A call to the counter ended. One that was given up before is passed over.
     pub fn call_ended(&self, id: u64, outcome: Outcome, total: f64) {
         self.drive(|core, now| core.call_ended(now, id, outcome, total));
--- a/crates/front_resp/src/lib.rs
+++ b/crates/front_resp/src/lib.rs
@@ -6,7 +6,7 @@
 
 mod requests;
 
-use exchange::{Exchange, FinalAnswer, Operation, OperationId};
+use exchange::{Exchange, FinalAnswer, Operation, OperationId, StreamOut, Taken, Value};
 use link::{Door, Incoming, Link, locked, sleep, spawn};
 use resp::{Malformed, Query};
 use std::collections::{BTreeMap, HashSet, VecDeque};
@@ -23,13 +23,17 @@
 const MOST_WAITING: usize = 64;
 /// Commands of one front socket that may wait for their turn: more is an error, so that the line stays bounded.
 const MOST_TURNS: usize = 1024;
+/// Bytes of an answer that goes on which wait for the socket at the most, before another piece of it.
+const PIECE: usize = 16 * 1024;
 /// Bytes of answers that a client may leave unread before it is cut off.
 const MOST_UNREAD: usize = 256 * 1024;
 /// A front socket without a request may be closed after this (the protocol); one that never sent any of use is.
 const QUIET: Duration = Duration::from_secs(2);
-/// A command must be whole this long after it began. With the time between two sweeps, what is never whole has its
+/// A command must be whole this long after it began: a head may take a client 2 s. With the time between two sweeps, what is never whole has its
 /// error within the 3 s in which it is owed.
-const WHOLE_WITHIN: Duration = Duration::from_millis(1_500);
+const WHOLE_WITHIN: Duration = Duration::from_millis(2_250);
+/// The same, from the connection's start, for one that has never sent a whole command.
+const FIRST_WITHIN: Duration = Duration::from_millis(2_400);
 /// Clients send their request as soon as they are connected: one that has sent none after this makes room for others when
 /// the table is full. Bad clients connect by the hundred and say nothing, or no more than `PING`.
 const SILENT: Duration = Duration::from_millis(250);
@@ -41,7 +45,7 @@
 const LOOK: Duration = Duration::from_millis(2);
 
 /// What this front passes on and gives back.
-pub type RespExchange = Exchange<Query, Vec<u8>>;
+pub type RespExchange = Exchange<Query, Value>;
 
 /// The front with all its sockets.
 pub struct Front {
@@ -98,6 +102,8 @@
 enum Turn {
     Waiting(Option<OperationId>),
     Answered(Vec<u8>),
+    /// An answer that is passed on as it comes.
+    Passing(StreamOut),
 }
 
 /// What to do with a command.
@@ -142,6 +148,12 @@
 }
 
 impl Turns {
+    /// Whether a command should have become whole by now.
+    fn is_late(&self) -> bool {
+        let first = !self.spoken && self.idle.elapsed() >= FIRST_WITHIN;
+        self.partial.is_some_and(|since| since.elapsed() >= WHOLE_WITHIN || first)
+    }
+
     /// How long it has been without a request; `None` while it has one, or part of one.
     fn idle_for(&self) -> Option<Duration> {
         (self.turns.is_empty() && self.partial.is_none()).then(|| self.idle.elapsed())
@@ -255,13 +267,13 @@
         self.open_sockets().len()
     }
 
-    /// Ends what says nothing, is never whole or does not leave, and keeps some room; call it twice a second.
+    /// Ends what says nothing, is never whole or does not leave, and keeps some room; call it a few times a second.
     pub fn sweep(&self) {
         let sockets = self.open_sockets();
         for socket in &sockets {
             let (stale, over) = {
                 let turns = locked(&socket.turns);
-                let half = turns.partial.is_some_and(|since| since.elapsed() >= WHOLE_WITHIN);
+                let half = turns.is_late();
                 let silent = !turns.spoken && turns.idle_for().is_some_and(|idle| idle >= QUIET);
                 let over = turns.ending && turns.turns.is_empty() && turns.idle.elapsed() >= LINGER;
                 (half || silent || turns.ending, over)
@@ -315,11 +327,13 @@
             End::Quiet => {}
         }
         socket.link.close();
-        let waiting: Vec<OperationId> = {
-            let turns = locked(&socket.turns);
-            turns.turns.iter().filter_map(|t| if let Turn::Waiting(id) = t { *id } else { None }).collect()
-        };
-        waiting.into_iter().for_each(|id| self.exchange.left(id));
+        let turns = std::mem::take(&mut locked(&socket.turns).turns);
+        for turn in turns {
+            // Answers that go on end with their turns.
+            if let Turn::Waiting(Some(id)) = turn {
+                self.exchange.left(id);
+            }
+        }
     }
 
     /// Reads and takes commands, `begun` first; returns how the socket ends.
@@ -397,7 +411,7 @@
             return Some(End::Quiet);
         }
         let mut turns = locked(&socket.turns);
-        if turns.partial.is_some_and(|since| since.elapsed() >= WHOLE_WITHIN) {
+        if turns.is_late() {
             return Some(End::Error("the command did not become whole"));
         }
         let unwanted = std::mem::take(&mut turns.unwanted) && turns.makes_room().is_some();
@@ -468,7 +482,10 @@
                     // Closed before the answer goes out: then the client may use its id anew.
                     drop(open_id);
                     locked(&place.turns).waiting -= 1;
-                    front.answer(&place, turn, answer_bytes(answer));
+                    match answer {
+                        FinalAnswer::Served(Value::Stream(stream)) => front.pass(&place, turn, stream),
+                        answer => front.answer(&place, turn, answer_bytes(answer)),
+                    }
                 };
                 let id = self.exchange.submit(operation, Box::new(reply));
                 let mut turns = locked(&socket.turns);
@@ -483,22 +500,76 @@
 
     /// Keeps an answer for its turn, and writes those whose turn has come.
     fn answer(&self, socket: &FrontSocket, turn: u64, bytes: Vec<u8>) {
+        self.fill(socket, turn, Turn::Answered(bytes));
+        self.write(socket);
+    }
+
+    /// Keeps an answer that goes on for its turn, and writes what may be written of it whenever there is more.
+    fn pass(self: &Arc<Self>, socket: &Arc<FrontSocket>, turn: u64, stream: StreamOut) {
+        let write = |front: &Arc<Self>, socket: &Arc<FrontSocket>| {
+            let (front, socket) = (Arc::downgrade(front), Arc::downgrade(socket));
+            move || {
+                if let (Some(front), Some(socket)) = (front.upgrade(), socket.upgrade()) {
+                    front.write(&socket);
+                }
+            }
+        };
+        stream.tell(Box::new(write(self, socket)));
+        socket.link.when_drained(write(self, socket));
+        self.fill(socket, turn, Turn::Passing(stream));
+        self.write(socket);
+    }
+
+    /// Where the turn is no more the client has left, and the answer with it.
+    fn fill(&self, socket: &FrontSocket, turn: u64, answer: Turn) {
+        let mut turns = locked(&socket.turns);
+        let at = turn.checked_sub(turns.first);
+        let place = at.and_then(|at| turns.turns.get_mut(at as usize));
+        let unwanted = match place {
+            Some(place) => std::mem::replace(place, answer),
+            None => answer,
+        };
+        drop(turns);
+        // Dropped with the lock free: a stream tells its destination.
+        drop(unwanted);
+    }
+
+    /// Writes the answers whose turn has come.
+    fn write(&self, socket: &FrontSocket) {
         let mut turns = locked(&socket.turns);
-        let Some(at) = turn.checked_sub(turns.first) else { return };
-        if let Some(place) = turns.turns.get_mut(at as usize) {
-            *place = Turn::Answered(bytes);
-        }
         let mut whole = Vec::new();
-        while let Some(Turn::Answered(bytes)) = turns.turns.front_mut() {
-            if whole.is_empty() {
-                whole = std::mem::take(bytes);
-            } else {
-                whole.extend_from_slice(bytes);
+        let mut ended = None;
+        loop {
+            match turns.turns.front_mut() {
+                Some(Turn::Answered(bytes)) if whole.is_empty() => whole = std::mem::take(bytes),
+                Some(Turn::Answered(bytes)) => whole.extend_from_slice(bytes),
+                // What waits for the socket goes first; it is written on when that is gone.
+                Some(Turn::Passing(_)) if whole.len() + socket.link.unsent() >= PIECE => break,
+                Some(Turn::Passing(stream)) => match stream.take(PIECE) {
+                    Taken::Bytes(bytes) => {
+                        whole.extend_from_slice(&bytes);
+                        continue;
+                    }
+                    Taken::Nothing => break,
+                    Taken::End => {}
+                    Taken::Broken => {
+                        ended = Some(());
+                        break;
+                    }
+                },
+                Some(Turn::Waiting(_)) | None => break,
             }
             turns.turns.pop_front();
             turns.first += 1;
         }
-        if whole.is_empty() || socket.link.is_closed() {
+        if ended.is_some() {
+            // The client can tell by the end that its value is not whole; nothing else may follow on this connection.
+            let _ = socket.link.send(&whole);
+            drop(turns);
+            socket.link.close();
+            return;
+        }
+        if whole.is_empty() && !turns.turns.is_empty() || socket.link.is_closed() {
             return;
         }
         // Sent before the turns are free, so that no later answer overtakes.
@@ -546,9 +617,11 @@
     }
 }
 
-fn answer_bytes(answer: FinalAnswer<Vec<u8>>) -> Vec<u8> {
+fn answer_bytes(answer: FinalAnswer<Value>) -> Vec<u8> {
     match answer {
-        FinalAnswer::Served(value) => value,
+        FinalAnswer::Served(Value::Whole(value)) => value,
+        // Streams are passed on before it comes to this.
+        FinalAnswer::Served(Value::Stream(_)) => Vec::new(),
         FinalAnswer::Busy { retry_after: 0, .. } => b"-BUSY\r\n".to_vec(),
         FinalAnswer::Busy { retry_after, .. } => {
             format!("-BUSY {}\r\n", retry_after.div_ceil(1000)).into_bytes()
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -14,7 +14,7 @@
 use std::net::{self, Shutdown, SocketAddr, TcpListener};
 use std::os::fd::{AsFd, AsRawFd, BorrowedFd};
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU32, Ordering};
-use std::sync::{Mutex, MutexGuard};
+use std::sync::{Mutex, MutexGuard, OnceLock};
 use std::time::{Duration, Instant};
 
 /// Bytes of stack of an ordinary coroutine. Pages are touched only when used; the room above what the program needs
@@ -125,12 +125,13 @@
 }
 
 /// A TCP connection that one coroutine waits on and any may write to.
-#[derive(Debug)]
 pub struct Link {
     stream: Stream,
     out: Mutex<Outgoing>,
     closed: AtomicBool,
     woken: AtomicBool,
+    /// Called when the socket has taken all that waited.
+    drained: OnceLock<Box<dyn Fn() + Send + Sync>>,
     /// Reads in a row that did not have to wait.
     streak: AtomicU32,
 }
@@ -153,6 +154,12 @@
     Woken,
 }
 
+impl std::fmt::Debug for Link {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Link").field("stream", &self.stream).finish_non_exhaustive()
+    }
+}
+
 impl Link {
     /// Opens a connection, or fails after `timeout`.
     ///
@@ -177,7 +184,14 @@
         // Without it small answers wait for acknowledgements; where it fails they do, and nothing else is lost.
         let _ = stream.inner().set_nodelay(true);
         let (closed, woken) = (AtomicBool::new(false), AtomicBool::new(false));
-        Self { stream, out: Mutex::default(), closed, woken, streak: AtomicU32::new(0) }
+        Self {
+            stream,
+            out: Mutex::default(),
+            closed,
+            woken,
+            drained: OnceLock::new(),
+            streak: AtomicU32::new(0),
+        }
     }
 
     /// Writes what the socket takes now and keeps the rest for the coroutine that waits on this link. Tells whether
@@ -212,8 +226,17 @@
         out.bytes.len() - out.at
     }
 
+    /// Names who is called, by the link's own coroutine, whenever the socket has taken all that waited.
+    pub fn when_drained(&self, told: impl Fn() + Send + Sync + 'static) {
+        // Named twice, the first stays.
+        let _ = self.drained.set(Box::new(told));
+    }
+
     fn flush(&self) -> io::Result<()> {
         let mut out = locked(&self.out);
+        if out.bytes.is_empty() {
+            return Ok(());
+        }
         while out.at < out.bytes.len() {
             match self.stream.inner().write(&out.bytes[out.at..]) {
                 Ok(n) => out.at += n,
@@ -223,6 +246,10 @@
             }
         }
         *out = Outgoing::default();
+        drop(out);
+        if let Some(told) = self.drained.get() {
+            told();
+        }
         Ok(())
     }
 
--- a/crates/resp/src/lib.rs
+++ b/crates/resp/src/lib.rs
@@ -8,6 +8,8 @@
 
 /// The most bytes of one bulk string.
 pub const LARGEST_BULK: usize = 64 * 1024;
+/// The most bytes of a value that is passed on as it comes.
+pub const LARGEST_VALUE: usize = 8 * 1024 * 1024;
 /// The most items of one array, and the deepest nesting.
 pub const MOST_ITEMS: usize = 64;
 /// The most bytes of one message.
@@ -100,6 +102,23 @@
     Ok(Some((element, next)))
 }
 
+/// The length of the bulk string that starts at `from`, and where its bytes begin; they need not be here. Longer than
+/// [`LARGEST_VALUE`] is none.
+///
+/// # Errors
+///
+/// It is no bulk string, or too long.
+pub fn bulk_head(buffer: &[u8], from: usize) -> Step<(usize, usize)> {
+    match buffer.get(from) {
+        None => return Ok(None),
+        Some(b'$') => {}
+        Some(_) => return Err(Malformed("no bulk string")),
+    }
+    let Some((text, next)) = line(buffer, from + 1)? else { return Ok(None) };
+    let length = usize::try_from(number(&buffer[text])?).ok().filter(|length| *length <= LARGEST_VALUE);
+    Ok(Some((length.ok_or(Malformed("a bulk string's length is out of range"))?, next)))
+}
+
 /// Where the integer that starts at `from` ends, even if its digits cannot be read.
 ///
 /// # Errors
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -28,6 +28,8 @@
     pub seed: u64,
     /// File descriptors that the process may hold.
     pub sockets: usize,
+    /// Bytes of memory that the process may hold.
+    pub memory: usize,
     /// The quota counter.
     pub counter: Option<SocketAddr>,
     /// The list that this gatekeeper last had.
@@ -144,13 +146,15 @@
 }
 
 #[derive(Deserialize)]
+#[serde(default)]
 struct FileLimits {
     sockets: usize,
+    memory_mb: usize,
 }
 
 impl Default for FileLimits {
     fn default() -> Self {
-        Self { sockets: 1024 }
+        Self { sockets: 1024, memory_mb: 192 }
     }
 }
 
@@ -341,6 +345,7 @@
         name: file.name,
         seed,
         sockets: file.limits.sockets,
+        memory: file.limits.memory_mb.clamp(1, 1 << 20) << 20,
         counter,
         known: file.known,
         largest: s.specifics.largest,
--- a/crates/snowfield/src/appliance.rs
+++ b/crates/snowfield/src/appliance.rs
@@ -134,6 +134,8 @@
         idle: Duration::from_millis(file.limits.idle_ms),
         connections: sockets / 2,
         answer: file.limits.answer_bytes + http::LARGEST_HEAD,
+        // Answers over HTTP are held whole.
+        streams: 0,
     };
     let answered = Arc::new(Answered::default());
     let noted = answered.clone();
--- a/crates/snowfield/src/clock.rs
+++ b/crates/snowfield/src/clock.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 /// Between two sweeps for what has been idle or silent for too long.
-const SWEEP: Duration = Duration::from_millis(500);
+const SWEEP: Duration = Duration::from_millis(250);
 
 /// Runs an exchange's timers when they are due, and `sweep` now and then, for ever.
 ///
--- a/crates/snowfield/src/platform.rs
+++ b/crates/snowfield/src/platform.rs
@@ -26,6 +26,8 @@
 /// Descriptors of the operators' door, where there is one, and of upgrades.
 const DOOR_SOCKETS: usize = door::MOST_CALLERS + 6;
 
+/// Part of the memory that answers which are passed on as they come may hold together.
+const STREAMS_PART: usize = 4;
 /// How long a program that takes another's place waits for its first list.
 const FIRST_LIST: Duration = Duration::from_millis(500);
 
@@ -164,7 +166,13 @@
     let mut tables = Tables::default();
     let settings = tables.take(&config).map_err(|e| e.to_string())?;
     let (longest, (connect, idle)) = (AtomicU64::new(longest(&config)), spans(&config));
-    let limits = Limits { connect, idle, connections: sockets / 3, answer: resp::LARGEST_MESSAGE };
+    let limits = Limits {
+        connect,
+        idle,
+        connections: sockets / 3,
+        answer: resp::LARGEST_MESSAGE,
+        streams: config.memory / STREAMS_PART,
+    };
     let rules = rules(&config, &tables);
     let protocol = RespDestination::new(&settings.report);
     let exchange = Exchange::new(settings, config.seed, clock).map_err(|e| e.to_string())?;
--- a/crates/snowfield/tests/common/mod.rs
+++ b/crates/snowfield/tests/common/mod.rs
@@ -60,6 +60,13 @@
         assert!(done.expect("kill runs").success());
     }
 
+    /// Memory that it holds now.
+    pub fn memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("it runs");
+        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).expect("a line for it");
+        line.trim().trim_end_matches("kB").trim().parse().expect("a number")
+    }
+
     /// The exit code.
     pub fn wait(&mut self) -> Option<i32> {
         self.child.wait().expect("it was started").code()
