Read all links through one buffer: an idle front socket holds half the memory

Need: half the memory and crowds of thousands; a socket that had sent part of a command kept 8 KiB to read into. Change: links read into one shared buffer and keep what came.

--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -27,6 +27,9 @@
 const BURST: u32 = 16;
 /// How long they get. A sleep and no yield: what yields stays in the worker's queue and keeps it from looking.
 const REST: Duration = Duration::from_millis(1);
+/// Where all links read into before they keep what has come: a connection that waits for the rest of a command holds no more
+/// than it has sent. All links are read by one worker, so nobody waits for it.
+static SCRATCH: Mutex<[u8; 16 * 1024]> = Mutex::new([0; 16 * 1024]);
 /// Bytes that are taken in unread for a client that is told its end while it sends.
 const MOST_DISCARDED: usize = 256 * 1024;
 
@@ -253,7 +256,7 @@
         Ok(())
     }
 
-    /// Waits for bytes and appends them, at most `most`; also sends what waits meanwhile. Only the link's own
+    /// Waits for bytes and appends them, at most `most` and 16 KiB; also sends what waits meanwhile. Only the link's own
     /// coroutine calls this. Bytes that are here come before [`Incoming::Woken`], so whoever is told that knows that
     /// nothing has come in unseen.
     ///
@@ -270,10 +273,13 @@
                 return Err(ErrorKind::NotConnected.into());
             }
             self.flush()?;
-            let start = buffer.len();
-            buffer.resize(start + most, 0);
-            let read = self.stream.inner().read(&mut buffer[start..]);
-            buffer.truncate(start + *read.as_ref().unwrap_or(&0));
+            let read = {
+                let mut scratch = locked(&SCRATCH);
+                let room = most.min(scratch.len());
+                let read = self.stream.inner().read(&mut scratch[..room]);
+                buffer.extend_from_slice(&scratch[..*read.as_ref().unwrap_or(&0)]);
+                read
+            };
             match read {
                 Ok(0) => return Ok(Incoming::End),
                 Ok(n) => return Ok(Incoming::Bytes(n)),
--- a/crates/snowfield/tests/operation.rs
+++ b/crates/snowfield/tests/operation.rs
@@ -156,6 +156,12 @@
         assert!(begun.elapsed() < LONG, "it is used again");
     }
     assert_eq!(all_asked(&seen_two).len(), 0, "the other one is still out");
+    // One that has left the list can be called back, and is nobody's after that.
+    site.watch.send(list(43, false, &[host("s-1", two, "removed")])).expect("the agent writes");
+    while figure(&call(door, "telemetry"), "balancer_members") != 1 {}
+    assert_eq!(call(door, "include s-1"), "OK\n");
+    assert_eq!(call(door, "include s-1"), "ERR no such loan server\n");
+    assert_eq!(call(door, "exclude s-1"), "ERR no such loan server\n");
 }
 
 /// Starts the next program beside the one of a site, as an upgrade does, and waits until it says yes.
@@ -544,3 +550,85 @@
     client.send(&whole[10..]);
     assert_eq!(client.reply(), id(1));
 }
+
+/// Guards the one that serves against a start that fails: a bad file, or a door that is taken.
+#[test]
+fn a_failed_start_leaves_the_old_program_serving() {
+    let (at, _seen) = echo();
+    let (site, door) = operated("failed-start", &Shape { destinations: &[at], ..Shape::default() });
+    let tmp = site.shared.as_ref().expect("a folder that both have").0.to_str().expect("a path in UTF-8");
+    let good = site.folder.0.join("config.json");
+    let bad = site.folder.write("bad.json", "{\"name\":\"n0\"");
+    let taken = door.to_string();
+    for (file, at, told) in [
+        (bad.as_str(), "127.0.0.1:0", "bad.json"),
+        (good.to_str().expect("a path"), taken.as_str(), "operator"),
+    ] {
+        let (done, text) = run(&[], &[("BALANCER_CONFIG", file), ("BALANCER_OPERATOR", at), ("TMPDIR", tmp)]);
+        assert!(!done && text.contains(told), "{text}");
+        let mut client = Client::connect(site.listen);
+        client.send(&query_by_another(1));
+        assert_eq!(client.reply(), id(1));
+    }
+    assert_eq!(call(door, "readyz"), "OK\n");
+}
+
+/// Guards a second upgrade that comes before the first has ended, and an old program that is killed in the middle.
+#[test]
+fn an_upgrade_inside_an_upgrade_and_a_killed_old_program_lose_nobody() {
+    let (at, _seen) = echo();
+    let (mut site, _) = operated("chain", &Shape { destinations: &[at], ..Shape::default() });
+    let mut clients: Vec<Client> = (0..20).map(|_| Client::connect(site.listen)).collect();
+    let mut number = 0;
+    let mut ask_all = |clients: &mut [Client]| {
+        for client in clients {
+            number += 1;
+            client.send(&query_by_another(number));
+            assert_eq!(client.reply(), id(number));
+        }
+    };
+    ask_all(&mut clients);
+    let (second, _) = beside(&site);
+    let (third, door) = beside(&site);
+    ask_all(&mut clients);
+    // The first is killed, the second told to end, in any order.
+    site.program.signal("-KILL");
+    second.terminate();
+    ask_all(&mut clients);
+    site.program = third;
+    ask_all(&mut clients);
+    let (fourth, _) = beside(&site);
+    // Every connection has been passed on before its old program is killed.
+    ask_all(&mut clients);
+    site.program.signal("-KILL");
+    fourth.logged("upgrade: the other program has ended");
+    ask_all(&mut clients);
+    let mut client = Client::connect(site.listen);
+    client.send(&query_by_another(9_999));
+    assert_eq!(client.reply(), id(9_999));
+    drop((second, door));
+}
+
+/// Guards half the memory: connections that idle or stop half way hold little, and a real client is let in meanwhile.
+#[test]
+fn idle_connections_hold_little_memory() {
+    let (at, _seen) = echo();
+    let site = site("idle-memory", &Shape { destinations: &[at], ..Shape::default() });
+    let mut first = Client::connect(site.listen);
+    first.send(&query_by_another(1));
+    assert_eq!(first.reply(), id(1));
+    let before = site.program.memory_kb();
+    let crowd: Vec<Client> = (0..600)
+        .map(|number| {
+            let mut client = Client::connect(site.listen);
+            client.send(&query_by_another(100)[..number % 90]);
+            client
+        })
+        .collect();
+    let mut client = Client::connect(site.listen);
+    client.send(&query_by_another(2));
+    assert_eq!(client.reply(), id(2));
+    let each = (site.program.memory_kb().saturating_sub(before)) as f64 / crowd.len() as f64;
+    println!("{each:.1} kB for each idle connection");
+    assert!(each < 16.0, "{each} kB for each idle connection");
+}
