Send the ACL token with claims, and measure processor time of the platform's path

Change: consul::Token reads the file for queries, registration and claims alike (cluster.store_token_file, else that of [consul]). proof-platform-cost compares builds in turn. proof-catalogue has outages of 30 s and flaps for a minute. Test: no run while the token is refused, runs after it is changed, and again after it is changed on both sides.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run check doc limits proof-duties proof-catalogue
+.PHONY: build test lint run check doc limits proof-duties proof-catalogue proof-platform-cost
 
 # The most non-blank lines and the widest line of the decision module.
 LINES = 1010
@@ -33,8 +33,12 @@
 	target/release/proof-duties-simulated
 	target/release/proof-duties
 
-# Consul's catalogue: drains, outages, flaps, restarts and sizes on the real program. About three minutes.
+# Consul's catalogue: drains, outages, flaps, restarts and sizes on the real program. About six minutes.
 proof-catalogue: build
 	target/release/proof-catalogue
 
+# Processor time of the platform's path for each request. BUILDS names other builds to compare with, the oldest first.
+proof-platform-cost: build
+	target/release/proof-platform-cost $(BUILDS) target/release/snowfield
+
 check: lint test doc build limits
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -15,6 +15,7 @@
 use std::collections::BTreeSet;
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
@@ -79,6 +80,8 @@
         prefix: String,
         /// A call is given up after this.
         timeout: Duration,
+        /// The file with the ACL token, if calls need one: it may write below `prefix`, and make and read sessions.
+        token_file: Option<PathBuf>,
     },
 }
 
--- a/crates/cluster/src/work.rs
+++ b/crates/cluster/src/work.rs
@@ -4,6 +4,7 @@
 use crate::{Clocks, Settings, StoreAt};
 use claims::consul::{Answer, Keys, Request};
 use claims::{Failure, Listing, Put, Record, Session};
+use consul::Token;
 use duties::Run;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -115,11 +116,14 @@
     threads: usize,
     events: &SyncSender<Event>,
 ) -> Option<Queue<StoreJob>> {
-    let StoreAt::Consul { address, prefix, timeout } = settings.store.clone() else { return None };
+    let StoreAt::Consul { address, prefix, timeout, token_file } = settings.store.clone() else {
+        return None;
+    };
+    let token = Token::of(token_file);
     let (events, keys) = (events.clone(), Keys { prefix });
     let (agent, instance) = (agent(Some(timeout), threads), settings.name.clone());
     Some(pool("claims", threads, move |job| {
-        let ask = |request: Request| ask(&agent, address, &request);
+        let ask = |request: Request| ask(&agent, address, &token, &request);
         let event = match job {
             StoreJob::Open => Event::Opened(open(&keys, &instance, &ask)),
             StoreJob::Renew(session) => {
@@ -174,11 +178,15 @@
 }
 
 /// One request to the store.
-fn ask(agent: &Agent, address: SocketAddr, request: &Request) -> Result<Answer, Failure> {
+fn ask(agent: &Agent, address: SocketAddr, token: &Token, request: &Request) -> Result<Answer, Failure> {
     let url = format!("http://{address}{}", request.target);
+    let token = token.get().map(|token| ("X-Consul-Token", token));
     let answer = match request.method {
-        "GET" => agent.get(&url).call(),
-        _ => agent.put(&url).send(request.body.as_bytes()),
+        "GET" => token.into_iter().fold(agent.get(&url), |r, (name, value)| r.header(name, value)).call(),
+        _ => {
+            let put = token.into_iter().fold(agent.put(&url), |r, (name, value)| r.header(name, value));
+            put.send(request.body.as_bytes())
+        }
     };
     let mut answer = answer.map_err(|e| failure(&e))?;
     let index =
--- a/crates/consul/src/ask.rs
+++ b/crates/consul/src/ask.rs
@@ -1,10 +1,9 @@
 //! One query of the health page.
 
-use crate::Watched;
+use crate::{Token, Watched};
 use catalogue::agents::Ask;
 use catalogue::answer::{self, Answer};
 use http::escaped;
-use std::cell::RefCell;
 use std::fmt::Write;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -55,8 +54,7 @@
 pub(crate) struct Asker {
     source: Source,
     agent: ureq::Agent,
-    /// The last token that could be read, and whether the last try failed.
-    token: RefCell<(Option<String>, bool)>,
+    token: Token,
 }
 
 pub(crate) fn client(connections: usize) -> ureq::Agent {
@@ -73,40 +71,9 @@
         .into()
 }
 
-impl Source {
-    /// The token of the file, trimmed.
-    ///
-    /// # Errors
-    ///
-    /// The file cannot be read, or holds no token. The text holds none either.
-    pub fn token(&self) -> Result<Option<String>, String> {
-        let Some(path) = &self.token_file else { return Ok(None) };
-        let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
-        let token = text.trim();
-        if token.is_empty() || token.len() > 256 || !token.bytes().all(|b| b.is_ascii_graphic()) {
-            return Err(format!("{}: it holds no token", path.display()));
-        }
-        Ok(Some(token.to_owned()))
-    }
-}
-
 impl Asker {
     pub(crate) fn new(source: &Source) -> Self {
-        Self { source: source.clone(), agent: client(1), token: RefCell::new((None, false)) }
-    }
-
-    /// The present token. A file that cannot be read leaves the last one in use.
-    pub(crate) fn token(&self) -> Option<String> {
-        let mut held = self.token.borrow_mut();
-        match self.source.token() {
-            Ok(token) => *held = (token, false),
-            Err(why) if !held.1 => {
-                println!("consul: the token file cannot be used ({why}); the last token stays");
-                held.1 = true;
-            }
-            Err(_) => {}
-        }
-        held.0.clone()
+        Self { source: source.clone(), agent: client(1), token: Token::of(source.token_file.clone()) }
     }
 
     /// Asks for the health of a service.
@@ -116,7 +83,7 @@
         let url = format!("http://{address}{}", target(&self.source, watched, ask));
         let wait = if ask.index > 0 { self.source.wait + self.source.wait / 16 } else { Duration::ZERO };
         let mut request = self.agent.get(&url).config().timeout_global(Some(wait + SLACK)).build();
-        if let Some(token) = self.token() {
+        if let Some(token) = self.token.get() {
             request = request.header("X-Consul-Token", token);
         }
         let mut answer = request.call().map_err(|e| failed(e.to_string()))?;
--- a/crates/consul/src/lib.rs
+++ b/crates/consul/src/lib.rs
@@ -7,10 +7,12 @@
 mod ask;
 mod file;
 mod register;
+mod token;
 
 pub use ask::Source;
 pub use file::ListFile;
 pub use register::{Registered, register};
+pub use token::Token;
 
 use ask::Asker;
 use catalogue::agents::{Agents, Rules, Told};
--- a/crates/consul/src/register.rs
+++ b/crates/consul/src/register.rs
@@ -1,7 +1,7 @@
 //! This program's own registration with its agent.
 
-use crate::Source;
 use crate::ask::client;
+use crate::{Source, Token};
 use catalogue::register::{Ask, Registration, Told};
 use http::escaped;
 use std::net::SocketAddr;
@@ -53,6 +53,7 @@
 
 fn keep(source: &Source, id: &str, body: &str, ttl: Duration, ends: &Receiver<SyncSender<()>>) {
     let (start, agent) = (Instant::now(), client(1));
+    let token = Token::of(source.token_file.clone());
     let now = || start.elapsed().as_millis() as u64;
     let mut registration = Registration::new(ttl.as_millis() as u64);
     let tell = |ask: Ask| -> Told {
@@ -63,7 +64,7 @@
         };
         let url = format!("http://{}{path}", source.agents[0]);
         let mut request = agent.put(url).config().timeout_global(Some(TIMEOUT)).build();
-        if let Ok(Some(token)) = source.token() {
+        if let Some(token) = token.get() {
             request = request.header("X-Consul-Token", token);
         }
         match request.send(body.as_bytes()).map(|answer| answer.status().as_u16()) {
--- a/crates/proofs/src/bin/proof-catalogue.rs
+++ b/crates/proofs/src/bin/proof-catalogue.rs
@@ -14,7 +14,9 @@
 const DESTINATIONS: usize = 12;
 const CLIENTS: usize = 6;
 /// Seconds that each kind of outage lasts.
-const OUTAGE: f64 = 10.0;
+const OUTAGE: f64 = 30.0;
+/// Seconds of flapping, one flap a second.
+const FLAPS: u32 = 60;
 
 /// A destination that notes when each request begins, and can die and come back at its address.
 struct Destination {
@@ -301,7 +303,7 @@
         // What was logged before is not counted.
         site.program.lines();
         let from = site.now();
-        for second in 0..20 {
+        for second in 0..FLAPS {
             let mut list = full();
             if second % 2 == 0 {
                 flapping.iter().for_each(|&i| list[i].status = Status::Critical);
@@ -441,7 +443,7 @@
         );
     }
     for (count, turns, share) in &moved {
-        table.at_most(&format!("{count} flapping each second for 20 s: turns of each"), *turns, 8.0);
+        table.at_most(&format!("{count} flapping each second for {FLAPS} s: turns of each"), *turns, 8.0);
         table.at_least("... served share", *share, calm_share - 0.01);
     }
     table.at_least("served share, catalogue wiped for 3 s", wiped.0, calm_share - 0.001);
--- a/crates/proofs/src/lib.rs
+++ b/crates/proofs/src/lib.rs
@@ -44,8 +44,18 @@
     ///
     /// It cannot be started.
     pub fn start(words: &[&str]) -> Self {
-        let mut child = Command::new(program())
+        Self::start_build(&program(), words, &[])
+    }
+
+    /// Starts another build of it, with these variables in its environment.
+    ///
+    /// # Panics
+    ///
+    /// It cannot be started.
+    pub fn start_build(build: &std::path::Path, words: &[&str], variables: &[(&str, &str)]) -> Self {
+        let mut child = Command::new(build)
             .args(words)
+            .envs(variables.iter().copied())
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .spawn()
--- a/crates/settings/src/cluster.rs
+++ b/crates/settings/src/cluster.rs
@@ -28,6 +28,9 @@
     pub prefix: String,
     /// Consul for the claims, if not `consul.address`.
     pub store: Option<SocketAddr>,
+    /// The file with the ACL token for it, relative to this file's folder; without one, and without `store`, that of
+    /// `consul`.
+    pub store_token_file: Option<PathBuf>,
     /// A call to it is given up after this.
     #[serde(default = "store_timeout")]
     pub store_timeout_ms: u64,
--- a/crates/snowfield/src/duties.rs
+++ b/crates/snowfield/src/duties.rs
@@ -48,6 +48,12 @@
                 address: cluster.store.unwrap_or(file.consul.address),
                 prefix: cluster.prefix.clone(),
                 timeout: Duration::from_millis(cluster.store_timeout_ms),
+                // A store of its own has its own token; else it is the Consul of the catalogue.
+                token_file: match (&cluster.store_token_file, cluster.store) {
+                    (Some(file), _) => Some(folder.join(file)),
+                    (None, None) => file.consul.token_file.as_ref().map(|file| folder.join(file)),
+                    (None, Some(_)) => None,
+                },
             },
             standbys: cluster.standbys,
             skew: cluster.skew_ms,
--- a/crates/snowfield/src/fleet.rs
+++ b/crates/snowfield/src/fleet.rs
@@ -218,7 +218,7 @@
 ) -> Result<(), String> {
     let consul = &file.consul;
     let source = source(file, folder);
-    source.token().map_err(|e| format!("consul: token_file: {e}"))?;
+    consul::Token::of(source.token_file.clone()).read().map_err(|e| format!("consul: token_file: {e}"))?;
     let list_file = consul.list_file.as_ref().map(|name| {
         let services = file.service_names().into_iter().map(str::to_owned);
         Arc::new(ListFile::open(folder.join(name), consul.list_max_age_s, services))
--- a/crates/snowfield/tests/cluster.rs
+++ b/crates/snowfield/tests/cluster.rs
@@ -338,3 +338,27 @@
         assert!(!succeeded && said.contains(reason), "{reason}: {said}");
     }
 }
+
+/// Guards installations with access lists: claims bring the token, and a token that is changed is used without a restart.
+#[test]
+fn claims_bring_the_token_of_the_file_as_it_is_now() {
+    let (target, runs) = destination(message, |_| ok());
+    let (store, catalogue) = (Consul::start(), Consul::start());
+    store.change(|s| s.token = Some("secret-1".into()));
+    let folder = folder("claim-token");
+    folder.write("claims.token", "secret-0\n");
+    let own = cluster("a", udp_ports(1)[0], &[]);
+    let own = format!("{own}store = \"{}\"\nstore_token_file = \"claims.token\"\n", store.open().address);
+    let rest = own + &duties(&["nightly".into()], target, 200);
+    let path = folder.write("a.toml", &file(catalogue.open().address, &rest));
+    let program = Program::start(&["serve", &path], &[]);
+    program.logged("serving OpenAPI on ");
+    program.logged("403");
+    assert_eq!(all_asked(&runs).len(), 0, "no claim, no run");
+    folder.write("claims.token", "secret-1\n");
+    asked(&runs);
+    store.change(|s| s.token = Some("secret-2".into()));
+    folder.write("claims.token", "secret-2\n");
+    all_asked(&runs);
+    (0..3).for_each(|_| drop(asked(&runs)));
+}
