--- a/crates/snowfield/src/door.rs
+++ b/crates/snowfield/src/door.rs
@@ -8,7 +8,7 @@
 
 /// Callers at one time, each with a descriptor and a thread; when all places are taken the one that has waited longest
 /// without a whole line makes room.
-pub const MOST_CALLERS: usize = 24;
+pub const MOST_CALLERS: usize = 12;
 /// A caller who has sent no line after this is told so and let go: some connect and complete no call for 4 s.
 const PATIENCE: Duration = Duration::from_secs(5);
 /// A reply fits into the socket's own buffer, unless the caller does not read.
@@ -31,16 +31,32 @@
 /// Callers who have not sent their line, oldest first.
 type Waiting = Arc<Mutex<Vec<(u64, Arc<TcpStream>)>>>;
 
+/// Who is at the door: the address and the callers of the moment.
+pub struct Callers {
+    /// Where the door is.
+    pub address: SocketAddr,
+    places: Arc<()>,
+}
+
+impl Callers {
+    /// How many there are.
+    pub fn count(&self) -> usize {
+        // One of them is here, and one with the listener.
+        Arc::strong_count(&self.places).saturating_sub(2)
+    }
+}
+
 /// Opens the door at this address and answers callers for as long as the process lives.
 ///
 /// # Errors
 ///
 /// The address cannot be listened on.
-pub fn open(at: SocketAddr, desk: Arc<impl Desk>) -> std::io::Result<SocketAddr> {
+pub fn open(at: SocketAddr, desk: Arc<impl Desk>) -> std::io::Result<Callers> {
     let listener = TcpListener::bind(at)?;
-    let address = listener.local_addr()?;
+    let places = Arc::new(());
+    let callers = Callers { address: listener.local_addr()?, places: places.clone() };
     std::thread::Builder::new().name("operators".into()).stack_size(STACK).spawn(move || {
-        let (waiting, places) = (Waiting::default(), Arc::new(()));
+        let waiting = Waiting::default();
         let mut number = 0;
         loop {
             let caller = match listener.accept() {
@@ -51,7 +67,7 @@
                     continue;
                 }
             };
-            if Arc::strong_count(&places) > MOST_CALLERS {
+            if Arc::strong_count(&places) > MOST_CALLERS + 1 {
                 let mut waiting = link::locked(&waiting);
                 if !waiting.is_empty() {
                     // Its thread ends by itself.
@@ -73,7 +89,7 @@
             }
         }
     })?;
-    Ok(address)
+    Ok(callers)
 }
 
 fn answer(desk: &impl Desk, line: Result<Vec<u8>, &'static str>) -> String {
--- a/crates/snowfield/src/platform.rs
+++ b/crates/snowfield/src/platform.rs
@@ -21,10 +21,12 @@
 use std::time::Duration;
 
 /// Descriptors kept for the listener, discovery, the counter with its lanes before and after a reload, the file that is
-/// read at a reload, `may`, the signals and the standard streams.
-const SPARE_SOCKETS: usize = 40;
-/// Descriptors of the operators' door, where there is one, and of upgrades.
-const DOOR_SOCKETS: usize = door::MOST_CALLERS + 6;
+/// read at a reload, `may`, the signals and the standard streams: 19 at the most.
+const SPARE_SOCKETS: usize = 20;
+/// Descriptors of the operators' door itself, where there is one, and of upgrades.
+const DOOR_SOCKETS: usize = 4;
+/// Descriptors that stay free for callers who are yet to come.
+const MORE_CALLERS: usize = 4;
 
 /// Part of the memory that answers which are passed on as they come may hold together.
 const STREAMS_PART: usize = 4;
@@ -187,9 +189,11 @@
     let folder = config.operator.and_then(|_| std::env::var_os("TMPDIR")).map(PathBuf::from);
     let desk = Arc::new(Desk::new(exchange.clone(), pools.clone(), hosts.clone(), folder.clone()));
     desk.set_names(tables.class_names(), tables.plan_names());
+    let mut callers = None;
     if let Some(at) = config.operator {
-        let at = door::open(at, desk.clone()).map_err(|e| format!("operator {at}: {e}"))?;
-        println!("{}: operators are answered on {at}", config.name);
+        let open = door::open(at, desk.clone()).map_err(|e| format!("operator {at}: {e}"))?;
+        println!("{}: operators are answered on {}", config.name, open.address);
+        callers = Some(open);
     }
     let rev = config.known.rev;
     let (entries, places) = link::locked(&hosts).translate(config.known);
@@ -215,7 +219,11 @@
     // Route steps take few connections, clients hold on to many: a front socket may use any descriptor that no route step
     // uses, but for some that stay free for these.
     let (room, kept) = (pools.clone(), sockets / 6);
-    let front = Front::new(exchange.clone(), rules, move || sockets - kept.max(room.open() + kept / 6));
+    let front = Front::new(exchange.clone(), rules, move || {
+        // Some callers always find a descriptor; the others wait until a client's has become free.
+        let callers = callers.as_ref().map_or(0, |c| (c.count() + MORE_CALLERS).min(door::MOST_CALLERS));
+        sockets.saturating_sub(kept.max(room.open() + kept / 6) + callers)
+    });
     let (swept_front, swept_watch, swept_counter) = (front.clone(), watch.clone(), counter.clone());
     let (timed, swept_pools) = (exchange.clone(), pools.clone());
     crate::clock::run(timed, move || {
