--- a/crates/settings/src/appliance.rs
+++ b/crates/settings/src/appliance.rs
@@ -261,6 +261,12 @@
     pub wanted_ms: u64,
     /// It is given up then.
     pub deadline_ms: u64,
+    /// The most attempts of one request, if not `limits.route_steps`.
+    pub attempts: Option<u32>,
+    /// An attempt is given up after this, the making of its connection included; without it, when the client gives up.
+    pub attempt_ms: Option<u64>,
+    /// A second copy may be sent after this; without it, after a part of `wanted_ms`.
+    pub copy_after_ms: Option<u64>,
     /// Worth of one unit.
     #[serde(default = "one")]
     pub worth: f64,
@@ -346,6 +352,11 @@
     if file.limits.sockets < 128 || file.limits.route_steps == 0 || file.limits.route_steps > 16 {
         return bad("limits: sockets must be 128 at least, and route_steps 1 to 16".into());
     }
+    let findings: Vec<String> =
+        file.timings().iter().flat_map(timing::Timing::check).map(|f| f.to_string()).collect();
+    if !findings.is_empty() {
+        return bad(format!("the timing of the classes cannot be kept:\n  {}", findings.join("\n  ")));
+    }
     check_consul(&file)?;
     cluster::check(file.cluster.as_ref(), file.probe.as_ref(), &file.duties)?;
     let pairs: Vec<(u16, usize)> = (0..file.classes.len()).map(|c| (0, c)).collect();
@@ -398,6 +409,22 @@
             .collect()
     }
 
+    /// What is stated of the timing of each class.
+    pub fn timings(&self) -> Vec<timing::Timing> {
+        let timing = |c: &Class| timing::Timing {
+            class: c.name.clone(),
+            repeatable: c.repeat == Repeat::Safe,
+            wanted: c.wanted_ms,
+            deadline: c.deadline_ms,
+            connect: self.limits.connect_ms,
+            most_attempts: self.limits.route_steps,
+            attempts: c.attempts,
+            attempt: c.attempt_ms,
+            copy_after: c.copy_after_ms,
+        };
+        self.classes.iter().map(timing).collect()
+    }
+
     /// The number of a class.
     pub fn class_number(&self, name: &str) -> Option<usize> {
         self.classes.iter().position(|c| c.name == name)
@@ -455,6 +482,9 @@
         },
         group: module::Group::All,
         worth: c.worth,
+        attempts: c.attempts.unwrap_or(0),
+        attempt_timeout: c.attempt_ms.unwrap_or(0).saturating_mul(1000),
+        copy_after: c.copy_after_ms.unwrap_or(0).saturating_mul(1000),
         ..module::Class::default()
     }
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -416,7 +416,7 @@
         key_ttl: c.key_ttl_us,
         worth: c.worth,
         streaming: c.streaming,
-        service: 0,
+        ..module::Class::default()
     })
 }
 
--- a/crates/snowfield/src/console.rs
+++ b/crates/snowfield/src/console.rs
@@ -12,6 +12,8 @@
 snowfield serve FILE    serve the OpenAPI descriptions that FILE names
 snowfield check FILE    check FILE and its descriptions
 snowfield routes FILE   list the routes with their units and classes
+snowfield explain FILE METHOD PATH
+                        tell the timing of a request and the course of its worst case
 snowfield status FILE   show the live status of the program that serves FILE
 snowfield watch FILE    show it anew each second
 ";
@@ -52,6 +54,45 @@
     Ok(())
 }
 
+/// Tells which figures hold for a request, where each comes from, and the course of its worst case.
+///
+/// # Errors
+///
+/// As [`check`], or no route takes the request.
+pub fn explain(path: &Path, method: &str, target: &str) -> Result<(), String> {
+    let checked = appliance::check(path)?;
+    let found =
+        checked.table.find(method, target).map_err(|_| format!("{target}: no path that is served"))?;
+    let number = match found {
+        openapi::Match::Route(number) => number,
+        openapi::Match::WrongMethod(allowed) => return Err(format!("{target} takes {allowed}")),
+        openapi::Match::Unknown => return Err(format!("{target}: no route")),
+    };
+    let route = &checked.table.routes()[number];
+    let timings = checked.file.timings();
+    let timing = timings.iter().find(|t| t.class == route.class).ok_or("its class is not in the file")?;
+    println!("{} {}  class {}  from {}", route.method, route.path, route.class, route.source);
+    let class = format!("class {:?}", timing.class);
+    let stated = |value: Option<u64>, unit: &str, otherwise: String| match value {
+        Some(value) => format!("{value}{unit}, stated by {class}"),
+        None => otherwise,
+    };
+    println!("  wanted within  {} ms, stated by {class}", timing.wanted);
+    println!("  given up after {} ms, stated by {class}", timing.deadline);
+    let most = format!("{}, from limits.route_steps", timing.most_attempts);
+    println!("  attempts       {}", stated(timing.attempts.map(u64::from), "", most));
+    println!("  each attempt   {}", stated(timing.attempt, " ms", "until the client gives up".into()));
+    let copy =
+        if timing.repeatable { "when it is late for its class" } else { "never: it must not run twice" };
+    println!("  second copy    {}", stated(timing.copy_after, " ms", copy.into()));
+    println!("  may run again  {}", if timing.repeatable { "yes" } else { "no" });
+    println!("the worst case:");
+    for moment in timing.worst_case() {
+        println!("  {:>6} ms  {}", moment.at, moment.what);
+    }
+    Ok(())
+}
+
 /// Asks the program that serves a file for its status.
 ///
 /// # Errors
--- a/crates/snowfield/src/main.rs
+++ b/crates/snowfield/src/main.rs
@@ -23,6 +23,7 @@
         ["serve", file] => appliance::serve(file.as_ref()),
         ["check", file] => console::check(file.as_ref()),
         ["routes", file] => console::routes(file.as_ref()),
+        ["explain", file, method, path] => console::explain(file.as_ref(), method, path),
         ["status", file] => console::status(file.as_ref()),
         ["watch", file] => console::watch(file.as_ref()),
         ["help" | "--help" | "-h"] => {
--- /dev/null
+++ b/crates/snowfield/tests/timing.rs
@@ -0,0 +1,112 @@
+//! Timing by class in the appliance's file: refused with all its reasons, explained, and honoured.
+
+mod common;
+
+use common::*;
+use stand_in_consul::{Consul, Service};
+use std::net::SocketAddr;
+use std::time::Instant;
+
+const LOANS: &str = r#"{"openapi":"3.0.3","info":{"title":"L","version":"1"},"paths":{"/loans/{loan}":{
+  "get":{"x-snowfield-units":1,"x-snowfield-class":"lookup","responses":{}},
+  "post":{"x-snowfield-units":1,"x-snowfield-class":"notice","responses":{}}}}}"#;
+
+fn file(consul: SocketAddr, lookup: &str, notice: &str) -> String {
+    format!(
+        "listen = \"127.0.0.1:0\"\ndescriptions = [\"loans.json\"]\nlender_header = \"X-Lender\"\n\
+         [consul]\naddress = \"{consul}\"\nservice = \"loan-server\"\n[limits]\nconnect_ms = 50\n\
+         [[class]]\nname = \"lookup\"\nrepeat = \"safe\"\nwanted_ms = 1200\ndeadline_ms = 2500\n{lookup}\n\
+         [[class]]\nname = \"notice\"\nrepeat = \"unsafe\"\nwanted_ms = 1200\ndeadline_ms = 2500\n{notice}\n\
+         [[plan]]\nname = \"basic\"\nunits_per_second = 1000.0\nburst = 4000.0\n\
+         [[lender]]\nname = \"al-noor\"\nplan = \"basic\"\n"
+    )
+}
+
+fn folder(test: &str) -> Folder {
+    let folder = Folder::new(test);
+    folder.write("loans.json", LOANS);
+    folder
+}
+
+#[test]
+fn a_file_that_cannot_be_honoured_is_refused_with_every_reason_at_once() {
+    let folder = folder("timing-bad");
+    let lookup = "attempts = 3\nattempt_ms = 900\ncopy_after_ms = 1500";
+    let text = file(nobody(), lookup, "attempt_ms = 40\ncopy_after_ms = 30");
+    let (good, said) = run(&["check", &folder.write("a.toml", &text)], &[]);
+    assert!(!good);
+    for told in [
+        "class \"lookup\": 3 attempts of 900 ms take up to 2700 ms, and the client gives up after 2500; state fewer",
+        "class \"lookup\": a copy after 1500 ms comes when the answer is no longer wanted (1200 ms)",
+        "class \"lookup\": a copy after 1500 ms never comes",
+        "class \"notice\": an attempt of 40 ms ends before a connection may be made (50 ms)",
+        "class \"notice\": a second copy of a request that must not run twice",
+    ] {
+        assert!(said.contains(told), "{told:?} in {said}");
+    }
+}
+
+#[test]
+fn explain_tells_where_each_figure_comes_from_and_the_worst_case() {
+    let folder = folder("timing-explain");
+    let text = file(nobody(), "attempts = 3\nattempt_ms = 800\ncopy_after_ms = 200", "");
+    let path = folder.write("a.toml", &text);
+    let (good, said) = run(&["explain", &path, "GET", "/loans/7"], &[]);
+    assert!(good, "{said}");
+    for told in [
+        "class lookup",
+        "attempts       3, stated by class \"lookup\"",
+        "     0 ms  attempt 1 begins and is silent",
+        "   200 ms  a second copy may be sent",
+        "  2400 ms  the client has its answer",
+    ] {
+        assert!(said.contains(told), "{told:?} in {said}");
+    }
+    let (_, said) = run(&["explain", &path, "POST", "/loans/7"], &[]);
+    assert!(said.contains("from limits.route_steps") && said.contains("may run again  no"), "{said}");
+    let (good, said) = run(&["explain", &path, "PUT", "/loans/7"], &[]);
+    assert!(!good && said.contains("GET, POST"), "{said}");
+}
+
+/// Guards the figures themselves: a silent destination costs its attempt and no more, where that may be tried again; what may
+/// not is answered when its attempt is over.
+#[test]
+fn an_attempt_ends_at_its_time_and_only_a_safe_one_is_tried_elsewhere() {
+    let (silent, seen) = destination(message, |_| Does::Nothing);
+    let (good, _seen) =
+        destination(message, |_| Does::Say(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok".to_vec()));
+    let consul = Consul::start();
+    let set = |at: &[SocketAddr], index| {
+        let services =
+            at.iter().enumerate().map(|(i, at)| Service::new(&format!("loans-{i}"), *at)).collect();
+        consul.set_service(index, "loan-server", services);
+    };
+    set(&[silent, good], 11);
+    let folder = folder("timing-kept");
+    let timing = "attempts = 2\nattempt_ms = 300\ncopy_after_ms = 290";
+    let text = file(consul.open().address, timing, "attempts = 1\nattempt_ms = 300");
+    let program = Program::start(&["serve", &folder.write("a.toml", &text)], &[]);
+    let listen: SocketAddr = program.logged("serving OpenAPI on ").parse().expect("an address");
+    program.logged("2 of them take work");
+    let ask = |method: &str| {
+        let begun = Instant::now();
+        let request = format!(
+            "{method} /loans/7 HTTP/1.1\r\nHost: a\r\nX-Lender: al-noor\r\nContent-Length: 0\r\n\r\n"
+        );
+        (Client::connect(listen).ask(&request).status(), begun.elapsed().as_millis())
+    };
+    let mut waited = 0;
+    while waited == 0 {
+        let (status, took) = ask("GET");
+        assert_eq!(status, 200);
+        assert!(took < 1_200, "at most one attempt of 300 ms comes before: {took} ms");
+        waited = seen.try_iter().filter(|s| matches!(s, Seen::Asked(_))).count();
+    }
+    // Refused meanwhile, where no place is free, it never ran.
+    let begun = Instant::now();
+    let (mut lost, mut took) = (200, 0);
+    while lost < 500 && begun.elapsed() < LONG {
+        (lost, took) = ask("POST");
+    }
+    assert!(lost >= 500 && (300..1_200).contains(&took), "{lost} after {took} ms");
+}
--- a/src/bin/dewproxy-drill/settings.rs
+++ b/src/bin/dewproxy-drill/settings.rs
@@ -97,7 +97,7 @@
         key_ttl: pairs.or(&format!("{at}.key-ttl-us"), 0)?,
         worth: pairs.or(&format!("{at}.worth"), 1.0)?,
         streaming: pairs.or(&format!("{at}.streaming"), false)?,
-        service: 0,
+        ..Class::default()
     })
 }
 
--- a/src/control.rs
+++ b/src/control.rs
@@ -819,11 +819,12 @@
     fn may_attempt(&self, r: &Request, b: &Backend) -> bool {
         let over = r.answered || r.streaming || self.now >= r.deadline;
         let copy = !self.s.second_copies && r.attempts.iter().any(|a| a.outcome.is_none());
-        if over || copy || r.attempts.len() >= self.s.max_attempts as usize {
+        let class = &self.s.classes[r.class];
+        let most = if class.attempts > 0 { class.attempts } else { self.s.max_attempts };
+        if over || copy || r.attempts.len() >= most.min(self.s.max_attempts) as usize {
             return false;
         }
         let Some(ran) = r.attempts.iter().find(|a| a.may_have_run()) else { return true };
-        let class = &self.s.classes[r.class];
         match class.effect {
             Effect::Safe => true,
             Effect::Unsafe => false,
@@ -860,8 +861,10 @@
             *next = now + pause;
         }
         self.customers.entry(r.customer).and_modify(|c| c.open += 1);
-        out.push(Action::Send { id, backend, timeout: 0 });
-        let after = (self.s.classes[class].aim as f64 * COPY_PART) as Micros;
+        let class = &self.s.classes[class];
+        out.push(Action::Send { id, backend, timeout: class.attempt_timeout });
+        let part = (class.aim as f64 * COPY_PART) as Micros;
+        let after = if class.copy_after > 0 { class.copy_after } else { part };
         let token = TOKEN_COPY | u64::from(attempt) << 32 | u64::from(id);
         out.push(Action::Timer { after, token });
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -48,6 +48,12 @@
     pub streaming: bool,
     /// The service that serves it: backends of others are never sent its requests.
     pub service: u16,
+    /// The most attempts of one request; 0 means as many as [`Settings::max_attempts`].
+    pub attempts: u32,
+    /// An attempt is given up after this span; 0 means when the client does.
+    pub attempt_timeout: Micros,
+    /// A second copy is worth its work after this span; 0 means a part of the aim.
+    pub copy_after: Micros,
 }
 
 /// A plan: the quotas of each of its customers, over all gateways together.
@@ -192,6 +198,9 @@
             worth: 1.0,
             streaming: false,
             service: 0,
+            attempts: 0,
+            attempt_timeout: 0,
+            copy_after: 0,
         }
     }
 }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -964,3 +964,36 @@
     let again = giver.tick_until(103 * SECOND);
     assert!(count(&again).is_none_or(|(_, add)| add.abs() < 1e-6), "{:?} told twice", count(&again));
 }
+
+/// Guards what a class states: its attempts end at their time-out, are no more than it says, and its copies come when it says.
+#[test]
+fn a_class_has_its_own_attempts_time_out_and_copies() {
+    let mut settings = Settings { counter: false, ..settings() };
+    settings.classes[0].attempts = 2;
+    settings.classes[0].attempt_timeout = 90 * MS;
+    settings.classes[0].copy_after = 30 * MS;
+    let mut bench = Bench::start(settings, &backends(4), 100 * SECOND);
+    let out = bench.feed(request(1, 0, 1.0));
+    let sent =
+        out.iter().find_map(|a| if let Action::Send { timeout, .. } = a { Some(*timeout) } else { None });
+    assert_eq!(sent, Some(90 * MS));
+    let copy = |out: &[Action]| {
+        let timer =
+            |a: &Action| if let Action::Timer { after, token } = a { Some((*after, *token)) } else { None };
+        out.iter().filter_map(timer).find(|(after, _)| *after == 30 * MS).map(|(_, token)| token)
+    };
+    let token = copy(&out).expect("a timer for the copy");
+    bench.now += 30 * MS;
+    let copies = sends(&bench.feed(Event::Timer { token }));
+    assert_eq!(copies.len(), 1, "the copy is the second attempt");
+    let first = sends(&out)[0];
+    assert_eq!(
+        sends(&bench.end(1, 0, first, Outcome::Timeout)),
+        [0; 0],
+        "and the last that the class may have"
+    );
+    assert!(refused(&bench.end(1, 1, copies[0], Outcome::Timeout)), "so it has its answer at once");
+    // Another class goes on as the settings say.
+    let out = bench.feed(request(2, 1, 1.0));
+    assert!(out.iter().any(|a| matches!(a, Action::Send { timeout: 0, .. })));
+}
