--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run check doc limits proof-duties proof-catalogue proof-platform-cost
+.PHONY: build test lint run check doc limits proof-duties proof-catalogue proof-platform-cost proof-timing
 
 # The most non-blank lines and the widest line of the decision module.
 LINES = 1010
@@ -41,4 +41,8 @@
 proof-platform-cost: build
 	target/release/proof-platform-cost $(BUILDS) target/release/snowfield
 
+# Timing by class: bad files, attempts that end at their time, latencies and load with copies. About two minutes.
+proof-timing: build
+	target/release/proof-timing
+
 check: lint test doc build limits
