Mark an operation whose answer goes on, in the place of a search through all of them

Need: read once more; each final answer looked through all streams, and two tests wrote the same stand-in. Result: make check passes; behaviour as it was.

--- a/crates/exchange/src/core.rs
+++ b/crates/exchange/src/core.rs
@@ -38,6 +38,8 @@
     service: u16,
     steps: Vec<Step>,
     last: Option<Outcome>,
+    /// Its answer has begun and goes on: it is counted when that ends.
+    goes_on: bool,
 }
 
 impl<Q, A> Entry<Q, A> {
@@ -139,7 +141,18 @@
         let deadline = now.saturating_add(time_left);
         let (query, reply, steps) = (Arc::new(query), Some(reply), Vec::new());
         let service = self.services.get(usize::from(class)).copied().unwrap_or(0);
-        let entry = Entry { query, reply, deadline, units, account, class, service, steps, last: None };
+        let entry = Entry {
+            query,
+            reply,
+            deadline,
+            units,
+            account,
+            class,
+            service,
+            steps,
+            last: None,
+            goes_on: false,
+        };
         self.ends.pending += 1;
         self.operations.insert(id, entry);
         self.timers.set(deadline, Due::Deadline(id));
@@ -261,9 +274,10 @@
             return;
         }
         if let Some(answer) = end.answer.filter(|_| end.outcome == Outcome::Ok) {
-            let begun = self.operations.get(&id.operation).filter(|e| end.goes_on && !e.is_over());
-            if let Some(class) = begun.map(|e| e.class) {
-                self.streams.insert(id, class);
+            let begun = self.operations.get_mut(&id.operation).filter(|e| end.goes_on && !e.is_over());
+            if let Some(entry) = begun {
+                entry.goes_on = true;
+                self.streams.insert(id, entry.class);
             }
             self.answer(id.operation, FinalAnswer::Served(answer));
         }
@@ -273,8 +287,8 @@
 
     /// Gives the one final answer, if none was given.
     fn answer(&mut self, id: OperationId, answer: FinalAnswer<A>) {
-        let Some((class, reply)) =
-            self.operations.get_mut(&id).and_then(|e| Some((e.class, e.reply.take()?)))
+        let entry = self.operations.get_mut(&id);
+        let Some((class, goes_on, reply)) = entry.and_then(|e| Some((e.class, e.goes_on, e.reply.take()?)))
         else {
             return;
         };
@@ -284,8 +298,7 @@
             FinalAnswer::Failed(_) => 2,
         };
         self.status.answers[kind] += 1;
-        // What goes on is counted at its end.
-        if !self.streams.keys().any(|step| step.operation == id) {
+        if !goes_on {
             self.ends.pending -= 1;
             self.count_end(class, kind);
         }
--- a/crates/front_resp/src/lib.rs
+++ b/crates/front_resp/src/lib.rs
@@ -538,7 +538,7 @@
     fn write(&self, socket: &FrontSocket) {
         let mut turns = locked(&socket.turns);
         let mut whole = Vec::new();
-        let mut ended = None;
+        let mut broken = false;
         loop {
             match turns.turns.front_mut() {
                 Some(Turn::Answered(bytes)) if whole.is_empty() => whole = std::mem::take(bytes),
@@ -553,7 +553,7 @@
                     Taken::Nothing => break,
                     Taken::End => {}
                     Taken::Broken => {
-                        ended = Some(());
+                        broken = true;
                         break;
                     }
                 },
@@ -562,7 +562,7 @@
             turns.turns.pop_front();
             turns.first += 1;
         }
-        if ended.is_some() {
+        if broken {
             // The client can tell by the end that its value is not whole; nothing else may follow on this connection.
             let _ = socket.link.send(&whole);
             drop(turns);
--- a/crates/snowfield/tests/operation.rs
+++ b/crates/snowfield/tests/operation.rs
@@ -5,7 +5,7 @@
 use common::*;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::mpsc::channel;
+use std::sync::mpsc::{Receiver, Sender, channel};
 
 /// Calls an operator's door and returns the whole reply.
 fn call(door: SocketAddr, line: &str) -> String {
@@ -36,6 +36,23 @@
     (site, door)
 }
 
+/// A destination that serves this request at a word only, and does this with all others.
+fn holds(
+    number: u32,
+    others: fn(&[String]) -> Does,
+) -> (SocketAddr, Receiver<Seen<Vec<String>>>, Sender<()>) {
+    let (release, word) = channel();
+    let word = std::sync::Mutex::new(Some(word));
+    let (at, seen) = destination(command, move |words| {
+        if words[2] != id(number) {
+            return others(words);
+        }
+        let word = word.lock().expect("no stand-in panics").take().expect("one request");
+        Does::SayAfter(word, value(&words[2]))
+    });
+    (at, seen, release)
+}
+
 #[test]
 fn the_door_answers_calls_and_refuses_what_is_none() {
     let (site, door) = operated("door", &Shape::default());
@@ -222,15 +239,7 @@
 /// the stores, which must not be filled anew.
 #[test]
 fn the_next_program_goes_on_where_the_last_one_stopped() {
-    let (release, word) = channel();
-    let word = std::sync::Mutex::new(Some(word));
-    let (at, seen) = destination(command, move |words| match words[2].as_str() {
-        "000000000000000a" => {
-            let word = word.lock().expect("no stand-in panics").take().expect("one request");
-            Does::SayAfter(word, value(&words[2]))
-        }
-        _ => Does::Say(value(&words[2])),
-    });
+    let (at, seen, release) = holds(10, |words| Does::Say(value(&words[2])));
     let (mut site, door) = operated("upgrade-state", &Shape { destinations: &[at], ..Shape::default() });
     let (mut idle, mut half, mut waits) =
         (Client::connect(site.listen), Client::connect(site.listen), Client::connect(site.listen));
@@ -332,13 +341,7 @@
 /// changes nothing.
 #[test]
 fn new_settings_are_in_force_at_once_and_a_bad_file_changes_nothing() {
-    let (release, word) = channel();
-    let word = std::sync::Mutex::new(Some(word));
-    let (at, seen) = destination(command, move |words| match words[2].as_str() {
-        "000000000000000a" => {
-            let word = word.lock().expect("no stand-in panics").take().expect("one request");
-            Does::SayAfter(word, value(&words[2]))
-        }
+    let (at, seen, release) = holds(10, |words| match words[2].as_str() {
         "0000000000000014" => Does::Close,
         _ => Does::Say(value(&words[2])),
     });
