Let a long answer be one type, and take a lock off each read of a destination's bytes

Change: Reading::Long holds Long; the two spans have a lock of their own; fill belongs to the front socket; a comment folded.

--- a/crates/destination/src/lib.rs
+++ b/crates/destination/src/lib.rs
@@ -46,22 +46,26 @@
         end: StepEnd<A>,
     },
     /// A long answer has begun: it is passed on as it comes.
-    Long {
-        /// The bytes before its value.
-        used: usize,
-        /// What the client gets before the value.
-        head: Vec<u8>,
-        /// The bytes of the value.
-        length: usize,
-        /// The items that stand behind it.
-        behind: usize,
-        /// Makes the stream an answer.
-        answer: fn(StreamOut) -> A,
-    },
+    Long(Long<A>),
     /// No valid answer can come any more.
     Malformed(&'static str),
 }
 
+/// A long answer that has begun.
+#[derive(Debug)]
+pub struct Long<A> {
+    /// The bytes before its value.
+    pub used: usize,
+    /// What the client gets before the value.
+    pub head: Vec<u8>,
+    /// The bytes of the value.
+    pub length: usize,
+    /// The items that stand behind it.
+    pub behind: usize,
+    /// Makes the stream an answer.
+    pub answer: fn(StreamOut) -> A,
+}
+
 /// How destinations are spoken to.
 pub trait Protocol: Send + Sync + 'static {
     /// What fronts pass on.
@@ -121,7 +125,9 @@
 pub struct Pools<P: Protocol> {
     me: Weak<Self>,
     protocol: P,
-    limits: Mutex<Limits>,
+    limits: Limits,
+    /// How long a connection may take to be made, and to be idle: new settings may change both.
+    spans: Mutex<(Duration, Duration)>,
     exchange: OnceLock<Arc<Exchange<P::Query, P::Answer>>>,
     state: Mutex<Table<P::Query>>,
     /// Route steps whose last byte the system has taken.
@@ -153,14 +159,6 @@
     On(Arc<Connection<Q>>),
 }
 
-/// A long answer that has begun; see [`Reading::Long`].
-struct Long<A> {
-    head: Vec<u8>,
-    length: usize,
-    behind: usize,
-    answer: fn(StreamOut) -> A,
-}
-
 /// A connection for a step, or none where it must be made, and its destination's address.
 type Carrier<Q> = (Option<Arc<Connection<Q>>>, SocketAddr);
 
@@ -184,8 +182,18 @@
         let (pools, busy, held) = Default::default();
         let state = Mutex::new(Table { pools, busy, open: 0, held, retired: false, streaming: Vec::new() });
         let budget = Budget::new(limits.streams);
-        let (exchange, written, limits) = (OnceLock::new(), AtomicU64::new(0), Mutex::new(limits));
-        Arc::new_cyclic(|me| Self { me: me.clone(), protocol, limits, exchange, state, written, budget })
+        let spans = Mutex::new((limits.connect, limits.idle));
+        let (exchange, written) = (OnceLock::new(), AtomicU64::new(0));
+        Arc::new_cyclic(|me| Self {
+            me: me.clone(),
+            protocol,
+            limits,
+            spans,
+            exchange,
+            state,
+            written,
+            budget,
+        })
     }
 
     /// How destinations are spoken to.
@@ -195,12 +203,7 @@
 
     /// Other spans from now on, for connections that are made or swept.
     pub fn set_spans(&self, connect: Duration, idle: Duration) {
-        let mut limits = locked(&self.limits);
-        (limits.connect, limits.idle) = (connect, idle);
-    }
-
-    fn limits(&self) -> Limits {
-        *locked(&self.limits)
+        *locked(&self.spans) = (connect, idle);
     }
 
     /// Names the exchange that hears how route steps end.
@@ -267,7 +270,7 @@
 
     /// Closes connections that have been idle for long; call it now and then.
     pub fn sweep(&self) {
-        let (now, idle) = (Instant::now(), self.limits().idle);
+        let (now, idle) = (Instant::now(), locked(&self.spans).1);
         for pool in locked(&self.state).pools.values_mut() {
             pool.idle.retain(|(connection, since)| {
                 let keep = now.duration_since(*since) < idle;
@@ -308,7 +311,7 @@
             }
             connection.link.close();
         }
-        if table.open >= self.limits().connections {
+        if table.open >= self.limits.connections {
             // Another destination's idle connection makes room.
             let oldest = table.pools.values_mut().filter(|p| !p.idle.is_empty()).min_by_key(|p| p.idle[0].1);
             oldest?.idle.remove(0).0.link.close();
@@ -320,8 +323,8 @@
 
     /// Opens a connection, makes the step on it if it is still wanted, and serves the connection.
     fn run_connection(&self, step: RouteStep<P::Query>, to: SocketAddr) {
-        let begun = Instant::now();
-        let link = Link::connect(to, self.limits().connect);
+        let (begun, connect) = (Instant::now(), locked(&self.spans).0);
+        let link = Link::connect(to, connect);
         let connection = link.map(|link| Arc::new(Connection { link, to, job: Mutex::new(None) }));
         let wanted = {
             let mut state = locked(&self.state);
@@ -423,12 +426,11 @@
                     }
                     self.exchange().step_ended(id, step_end);
                 }
-                Reading::Long { used, head, length, behind, answer } => {
+                Reading::Long(long) => {
                     let wanted = locked(&self.state).busy.remove(&id).is_some();
                     *locked(&connection.job) = None;
                     if wanted {
-                        buffer.drain(..used);
-                        let long = Long { head, length, behind, answer };
+                        buffer.drain(..long.used);
                         let kept = self.pass_on(id, connection, &mut buffer, &long);
                         buffer = Vec::new();
                         if kept {
@@ -439,7 +441,7 @@
                     }
                     break;
                 }
-                Reading::More if !end && buffer.len() <= self.limits().answer => {}
+                Reading::More if !end && buffer.len() <= self.limits.answer => {}
                 _ => break,
             }
         }
--- a/crates/destination/src/resp.rs
+++ b/crates/destination/src/resp.rs
@@ -1,6 +1,6 @@
 //! Destinations that speak the platform's RESP2.
 
-use crate::{Protocol, Reading};
+use crate::{Long, Protocol, Reading};
 use dewproxy::interface::{Load, Micros, Outcome};
 use exchange::{StepEnd, Value};
 use resp::{Element, Malformed, Query};
@@ -60,7 +60,7 @@
     let (Element::Array(items @ 1..), at) = resp::element(buffer, 0).ok()?? else { return None };
     let (length, used) = resp::bulk_head(buffer, at).ok()??;
     let (head, behind, answer) = (buffer[at..used].to_vec(), items - 1, Value::Stream as fn(_) -> _);
-    (length > resp::LARGEST_BULK).then_some(Reading::Long { used, head, length, behind, answer })
+    (length > resp::LARGEST_BULK).then_some(Reading::Long(Long { used, head, length, behind, answer }))
 }
 
 /// How many bytes an answer took, and what it says.
--- a/crates/destination/tests/resp.rs
+++ b/crates/destination/tests/resp.rs
@@ -27,7 +27,7 @@
             });
             Some(Ok((used, (end.outcome, answer, end.load))))
         }
-        Reading::Long { .. } => Some(Err("a long answer")),
+        Reading::Long(_) => Some(Err("a long answer")),
         Reading::Malformed(text) => Some(Err(text)),
     }
 }
@@ -36,7 +36,7 @@
 #[test]
 fn long_answers_begin_with_their_head_and_end_with_a_sound_tail() {
     let begun = |text: &str| match destination().read(&query(), text.as_bytes(), false) {
-        Reading::Long { used, head, length, behind, .. } => Some((used, head, length, behind)),
+        Reading::Long(long) => Some((long.used, long.head, long.length, long.behind)),
         _ => None,
     };
     assert_eq!(begun("*3\r\n$65537\r\nab"), Some((12, b"$65537\r\n".to_vec(), 65_537, 2)));
--- a/crates/front_resp/src/lib.rs
+++ b/crates/front_resp/src/lib.rs
@@ -29,8 +29,8 @@
 const MOST_UNREAD: usize = 256 * 1024;
 /// A front socket without a request may be closed after this (the protocol); one that never sent any of use is.
 const QUIET: Duration = Duration::from_secs(2);
-/// A command must be whole this long after it began: a head may take a client 2 s. With the time between two sweeps, what is never whole has its
-/// error within the 3 s in which it is owed.
+/// A command must be whole this long after it began: a head may take a client 2 s. With the time between two sweeps, what is
+/// never whole has its error within the 3 s in which it is owed.
 const WHOLE_WITHIN: Duration = Duration::from_millis(2_250);
 /// The same, from the connection's start, for one that has never sent a whole command.
 const FIRST_WITHIN: Duration = Duration::from_millis(2_400);
@@ -141,6 +141,20 @@
         Arc::new(Self { link, turns: Mutex::new(turns) })
     }
 
+    /// Keeps an answer for its turn. Where the turn is no more the client has left, and the answer with it.
+    fn fill(&self, turn: u64, answer: Turn) {
+        let mut turns = locked(&self.turns);
+        let at = turn.checked_sub(turns.first);
+        let place = at.and_then(|at| turns.turns.get_mut(at as usize));
+        let unwanted = match place {
+            Some(place) => std::mem::replace(place, answer),
+            None => answer,
+        };
+        drop(turns);
+        // Dropped with the lock free: a stream tells its destination.
+        drop(unwanted);
+    }
+
     fn between_requests(&self) -> bool {
         let turns = locked(&self.turns);
         turns.turns.is_empty() && turns.partial.is_none() && self.link.unsent() == 0
@@ -500,7 +514,7 @@
 
     /// Keeps an answer for its turn, and writes those whose turn has come.
     fn answer(&self, socket: &FrontSocket, turn: u64, bytes: Vec<u8>) {
-        self.fill(socket, turn, Turn::Answered(bytes));
+        socket.fill(turn, Turn::Answered(bytes));
         self.write(socket);
     }
 
@@ -516,24 +530,10 @@
         };
         stream.tell(Box::new(write(self, socket)));
         socket.link.when_drained(write(self, socket));
-        self.fill(socket, turn, Turn::Passing(stream));
+        socket.fill(turn, Turn::Passing(stream));
         self.write(socket);
     }
 
-    /// Where the turn is no more the client has left, and the answer with it.
-    fn fill(&self, socket: &FrontSocket, turn: u64, answer: Turn) {
-        let mut turns = locked(&socket.turns);
-        let at = turn.checked_sub(turns.first);
-        let place = at.and_then(|at| turns.turns.get_mut(at as usize));
-        let unwanted = match place {
-            Some(place) => std::mem::replace(place, answer),
-            None => answer,
-        };
-        drop(turns);
-        // Dropped with the lock free: a stream tells its destination.
-        drop(unwanted);
-    }
-
     /// Writes the answers whose turn has come.
     fn write(&self, socket: &FrontSocket) {
         let mut turns = locked(&socket.turns);
