Read the file of holds wherever nothing was taken over, not only where nobody was called

Cause: start() restored holds only where no program answered; one that took the call and then failed left a new program that used loan servers which are out by hand. Seen when the change was read once more. Result: the new test, a peer that hangs up beside a file with one hold, fails without the change and passes with it.

--- a/crates/snowfield/src/platform.rs
+++ b/crates/snowfield/src/platform.rs
@@ -252,7 +252,8 @@
             Ok(door) => taken = Some((door, old)),
             Err(why) => println!("upgrade: nothing was taken over ({why}); starting without it"),
         }
-    } else {
+    }
+    if taken.is_none() {
         desk.restore();
     }
     let (door, old) = match taken {
--- a/crates/snowfield/tests/operation.rs
+++ b/crates/snowfield/tests/operation.rs
@@ -635,3 +635,24 @@
     println!("{each:.1} kB for each idle connection");
     assert!(each < 16.0, "{each} kB for each idle connection");
 }
+
+/// Guards holds where the program that serves could not give its own: the file has them.
+#[test]
+fn holds_come_from_the_file_where_nothing_was_taken_over() {
+    let (at, seen) = echo();
+    let folder = Folder::new("upgrade-refused");
+    let place = folder.0.join("snowfield.sock");
+    let listener = std::os::unix::net::UnixListener::bind(place).expect("a place of its own");
+    // It takes the call and hangs up.
+    std::thread::spawn(move || listener.accept().map(drop));
+    folder.write("snowfield.held", "snowfield held 1 1\ns-0\n");
+    let tmp = folder.0.to_str().expect("a path in UTF-8");
+    let variables = [("BALANCER_OPERATOR", "127.0.0.1:0"), ("TMPDIR", tmp)];
+    let site =
+        site_with("upgrade-refused-site", &Shape { destinations: &[at], ..Shape::default() }, &variables);
+    let mut client = Client::connect(site.listen);
+    client.send(&query(1, 2400, 1));
+    assert!(client.reply().starts_with("-BUSY"));
+    assert_eq!(all_asked(&seen).len(), 0, "it is still out");
+    assert_eq!(call(site.door.expect("operators are answered"), "include s-0"), "OK\n");
+}
