Count refusals by the gate that refused, and show them at the operators' door

Need: with two loan servers of ten out by hand a quarter of the tries was refused with room in the quota, and nothing said which gate refused. Change: the module names the gate with each busy reply, the exchange counts them at the source, and the door shows balancer_refusals_total by reason. The gates are one function now; decisions are the same.

--- a/crates/exchange/src/core.rs
+++ b/crates/exchange/src/core.rs
@@ -3,7 +3,7 @@
 use crate::timers::{Due, Timers};
 use crate::{CounterCall, FinalAnswer, Operation, OperationId, Reply, RouteStep, StepEnd, StepId, Why};
 use dewproxy::interface::{
-    Action, BackendEntry, Event, ListKind, Micros, Outcome, Settings, SettingsError, State,
+    Action, BackendEntry, Event, ListKind, Micros, Outcome, Refusal, Settings, SettingsError, State,
 };
 use dewproxy::{Gateway, Members};
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -55,6 +55,8 @@
     pub pending: usize,
     /// For each class those served, refused and failed.
     pub classes: Vec<[u64; 3]>,
+    /// Busy replies of the module by what kept the operation out, in the order of [`Refusal::ALL`].
+    pub refusals: [u64; Refusal::ALL.len()],
 }
 
 /// Figures for the console.
@@ -106,7 +108,7 @@
         let (max_attempts, counter_wait, tick) =
             (settings.max_attempts as usize, settings.counter_wait, settings.tick);
         let services: Vec<u16> = settings.classes.iter().map(|c| c.service).collect();
-        let ends = Ends { pending: 0, classes: vec![[0; 3]; services.len()] };
+        let ends = Ends { classes: vec![[0; 3]; services.len()], ..Ends::default() };
         Ok(Self {
             services,
             places: HashMap::new(),
@@ -183,7 +185,8 @@
             Action::Cancel { id, attempt } => {
                 self.end_step(now, StepId { operation: id, attempt }, Outcome::Cancelled);
             }
-            Action::Refuse { id, retry_after } => {
+            Action::Refuse { id, retry_after, why } => {
+                self.ends.refusals[why as usize] += 1;
                 let why = self.why(now, id);
                 self.answer(id, FinalAnswer::Busy { retry_after, why });
             }
--- a/crates/operator/src/figures.rs
+++ b/crates/operator/src/figures.rs
@@ -20,6 +20,8 @@
 pub struct Figures {
     /// By class.
     pub classes: Vec<ClassFigures>,
+    /// Operations that the decisions refused, by what kept them out.
+    pub refusals: Vec<(&'static str, u64)>,
     /// Attempts written whole to loan servers.
     pub upstream_requests: u64,
     /// Operations taken and not yet ended.
@@ -53,6 +55,9 @@
                 );
             }
         }
+        for (reason, count) in &self.refusals {
+            let _ = writeln!(text, "balancer_refusals_total{{reason=\"{reason}\"}} {count}");
+        }
         for (name, value) in [
             ("upstream_requests_total", self.upstream_requests),
             ("pending", self.pending as u64),
@@ -80,13 +85,17 @@
     #[test]
     fn each_figure_has_its_line_and_the_end_is_told() {
         let class = ClassFigures { name: "C".into(), completed: 812, rejected: 3, failed: 1 };
-        let figures = Figures { classes: vec![class], pending: 14, members: 10, ..Figures::default() };
+        let refusals = vec![("quota", 2), ("no_place", 1)];
+        let figures =
+            Figures { classes: vec![class], refusals, pending: 14, members: 10, ..Figures::default() };
         let text = figures.text();
         assert!(text.starts_with("OK\n") && text.ends_with("\nEND\n"));
         for line in [
             "balancer_completed_total{lane=\"C\"} 812",
             "balancer_rejected_total{lane=\"C\"} 3",
             "balancer_failed_total{lane=\"C\"} 1",
+            "balancer_refusals_total{reason=\"quota\"} 2",
+            "balancer_refusals_total{reason=\"no_place\"} 1",
             "balancer_upstream_requests_total 0",
             "balancer_pending 14",
             "balancer_members 10",
--- a/crates/snowfield/src/desk.rs
+++ b/crates/snowfield/src/desk.rs
@@ -3,6 +3,7 @@
 use crate::hosts::Hosts;
 use crate::{door, held};
 use destination::{Pools, RespDestination};
+use dewproxy::interface::Refusal;
 use front_resp::RespExchange;
 use handover::{Message, Peer};
 use link::locked;
@@ -176,6 +177,7 @@
         }
         Figures {
             classes,
+            refusals: Refusal::ALL.iter().map(|why| why.name()).zip(ends.refusals).collect(),
             upstream_requests: self.pools.written(),
             pending: ends.pending,
             members: members.listed,
--- a/src/bin/dewproxy-drill/frame.rs
+++ b/src/bin/dewproxy-drill/frame.rs
@@ -237,7 +237,7 @@
                 self.record(1040, gateway, &[&id.to_be_bytes(), &timeout(*t), &backend.to_be_bytes()]);
             }
             Action::Cancel { id, attempt } => self.record(1050, gateway, &[&id.to_be_bytes(), &[*attempt]]),
-            Action::Refuse { id, retry_after } => {
+            Action::Refuse { id, retry_after, .. } => {
                 self.record(1080, gateway, &[&id.to_be_bytes(), &time(*retry_after)]);
             }
             Action::Fail { id } => self.record(1100, gateway, &[&id.to_be_bytes()]),
@@ -293,6 +293,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use dewproxy::interface::Refusal;
 
     /// One event record from its code and fields at their offsets.
     fn record(code: u16, fields: &[(usize, &[u8])]) -> Vec<u8> {
@@ -425,7 +426,7 @@
         assert_eq!(hex, wanted);
         let mut reply = Reply::default();
         reply.push(3, &Action::Count { name: 0x0089_f690, add: 4.0, keep: 3_000_000 });
-        reply.push(3, &Action::Refuse { id: 0x0e6f_2b19, retry_after: 250_000 });
+        reply.push(3, &Action::Refuse { id: 0x0e6f_2b19, retry_after: 250_000, why: Refusal::Quota });
         reply.push(3, &Action::Fail { id: 0x0e6f_2b19 });
         reply.push(3, &Action::Cancel { id: 0x5d3a_91c4, attempt: 0 });
         reply.push(3, &Action::Probe { backend: 0x2c90_11f2 });
--- a/src/control.rs
+++ b/src/control.rs
@@ -263,15 +263,17 @@
         self.turn_to(self.s.classes[r.class].service);
         let (key, reserved) = (r.customer, std::mem::take(&mut r.reserved));
         self.customers.entry(key).and_modify(|c| c.spend(-reserved));
-        let c = &self.customers[&key];
-        let within = self.quota_allows(c, &r);
-        // Each gateway owns the ceiling's rate and burst over the customer's set, debited by told units at
-        // first send and never refunded: all keep under it together whatever the counter or the others do.
-        let admitted = within && (self.s.plans[c.plan].ceiling_rate <= 0.0 || c.ceiling >= r.guess);
-        let Some(backend) = admitted.then(|| self.choose(&r, true)).flatten() else {
-            out.push(Action::Refuse { id, retry_after: self.advice(&r) });
-            self.tell_later(key, reserved, 0);
-            return false;
+        let choice = match self.gate(&self.customers[&key], &r) {
+            Some(why) => Err(why),
+            None => self.choose(&r, false).ok_or(Refusal::NoBackend),
+        };
+        let backend = match choice {
+            Ok(backend) => backend,
+            Err(why) => {
+                out.push(Action::Refuse { id, retry_after: self.advice(&r), why });
+                self.tell_later(key, reserved, 0);
+                return false;
+            }
         };
         self.charge(&r);
         self.requests.insert(id, r);
@@ -339,15 +341,20 @@
         (c.level - taken, DOUBT * (others * unseen * self.s.largest).sqrt())
     }
 
-    /// Whether the bucket holds the price: by the own part where the shared is in doubt, lest all gateways
-    /// spend the same last units.
-    fn quota_allows(&self, c: &Customer, r: &Request) -> bool {
+    /// What keeps a request out, if anything does. Where the shared bucket is in doubt the own part decides,
+    /// lest all gateways spend the same last units. Each gateway owns the ceiling's rate and burst over the
+    /// customer's set, debited by told units at first send and never refunded: all keep under it together
+    /// whatever the counter or the others do.
+    fn gate(&self, c: &Customer, r: &Request) -> Option<Refusal> {
         let plan = &self.s.plans[c.plan];
-        if plan.open > 0 && !self.open_allows(c, f64::from(plan.open)) {
-            return false;
-        }
         let (spare, doubt) = self.spare(c, r);
-        plan.rate <= 0.0 || if spare.abs() < doubt { c.own >= c.taken(r) } else { spare >= 0.0 }
+        match spare.abs() < doubt {
+            _ if plan.open > 0 && !self.open_allows(c, f64::from(plan.open)) => Some(Refusal::Open),
+            true if plan.rate > 0.0 && c.own < c.taken(r) => Some(Refusal::OwnPart),
+            false if plan.rate > 0.0 && spare < 0.0 => Some(Refusal::Quota),
+            _ if plan.ceiling_rate > 0.0 && c.ceiling < r.guess => Some(Refusal::Ceiling),
+            _ => (!self.spare_for(r)).then_some(Refusal::NoPlace),
+        }
     }
 
     /// Whether a further attempt is likely below the cap on open ones. One for each gateway would be many
@@ -930,7 +937,8 @@
         let Some(service) = open.map(|r| self.s.classes[r.class].service) else { return };
         self.turn_to(service);
         let Some(r) = self.requests.get(&id) else { return };
-        let refuse = self.may_refuse(r).then(|| Action::Refuse { id, retry_after: self.advice(r) });
+        let (retry_after, why) = (self.advice(r), Refusal::GivenUp);
+        let refuse = self.may_refuse(r).then_some(Action::Refuse { id, retry_after, why });
         out.push(refuse.unwrap_or(Action::Fail { id }));
         self.close(id);
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -486,6 +486,51 @@
     Message,
 }
 
+/// What kept a request out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// The shared bucket is surely empty.
+    Quota,
+    /// The shared bucket is in doubt or cannot be asked for, and this gateway's own part is empty.
+    OwnPart,
+    /// Its customer has as many attempts open as its plan allows.
+    Open,
+    /// This gateway's part of the hard ceiling is spent.
+    Ceiling,
+    /// All places at the backends are taken.
+    NoPlace,
+    /// No backend takes it now: out, sick, shut, or cold.
+    NoBackend,
+    /// It was let in, and no attempt ended well in time.
+    GivenUp,
+}
+
+impl Refusal {
+    /// All of them, each at the place of its number.
+    pub const ALL: [Self; 7] = [
+        Self::Quota,
+        Self::OwnPart,
+        Self::Open,
+        Self::Ceiling,
+        Self::NoPlace,
+        Self::NoBackend,
+        Self::GivenUp,
+    ];
+
+    /// Its name in figures and logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Quota => "quota",
+            Self::OwnPart => "own_part",
+            Self::Open => "open",
+            Self::Ceiling => "ceiling",
+            Self::NoPlace => "no_place",
+            Self::NoBackend => "no_backend",
+            Self::GivenUp => "given_up",
+        }
+    }
+}
+
 /// What a gateway asks for, in this order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -511,6 +556,8 @@
         id: u32,
         /// Advice on how long to stay away; 0 for none.
         retry_after: Micros,
+        /// What kept it out.
+        why: Refusal,
     },
     /// Final answer: failed, nothing is promised.
     Fail {
