Make fewer counter calls: none that cannot help, and later ones while much is left

Ruled out: reads for gateways that know nothing (under 100), calls after failures (1 in 100). At fault: spare(), which doubted downwards what can only fill, and decide(), which told each unit at once. Change: what no total can let in is refused at once; spend waits half a second while half the store is left to the set.

--- a/src/control.rs
+++ b/src/control.rs
@@ -27,6 +27,9 @@
 const CALLS_AT_ONCE: (f64, f64) = (3.0, 8.0);
 /// Part of the wait for a counter call within which its answer counts as quick.
 const QUICK_PART: f64 = 0.4;
+/// Part of what a store holds that all gateways of a set together may keep to themselves, and us for how long.
+const TELL_PART: f64 = 0.5;
+const TELL_AFTER: Micros = 500_000;
 /// Units of doubt that count, in standard deviations of chance.
 const DOUBT: f64 = 2.0;
 /// Units too few to tell: totals come to seven digits.
@@ -277,7 +280,9 @@
         self.requests.insert(id, r);
         self.copies = (self.copies + COPY_SHARE).min(COPY_MOST);
         self.send(id, backend, out);
-        self.call_counter(key, false, out);
+        if self.customers[&key].due <= self.now {
+            self.call_counter(key, false, out);
+        }
         true
     }
 
@@ -336,8 +341,13 @@
         if c.known.is_none() {
             return (c.own - taken, f64::INFINITY);
         }
-        let unseen = (self.now - c.synced) as f64 / SECOND;
-        let others = c.others_rate.max(self.s.plans[c.plan].rate * (1.0 - 2.0 / c.set));
+        let (rate, unseen) = (self.s.plans[c.plan].rate, (self.now - c.synced) as f64 / SECOND);
+        // No total can show more than this: where that is too little, none is asked for.
+        let most = c.base + rate * unseen - c.spent - taken;
+        if most < 0.0 {
+            return (most, -1.0);
+        }
+        let others = c.others_rate.max(rate * (1.0 - 2.0 / c.set));
         (c.level - taken, DOUBT * (others * unseen * self.s.largest).sqrt())
     }
 
@@ -381,7 +391,10 @@
         c.ceiling -= r.guess;
         c.surcharge += r.price - r.guess;
         c.held += r.hold;
-        self.tell_later(r.customer, r.guess, 0);
+        // While much is left, others need not hear of each unit at once.
+        let much = c.pending.abs() * c.set < TELL_PART * c.level;
+        let after = if much { TELL_AFTER } else { 0 };
+        self.tell_later(r.customer, r.guess, after);
     }
 
     /// The answer told the true units: debt or refund, and the hold ends.
