--- a/src/control.rs
+++ b/src/control.rs
@@ -27,7 +27,7 @@
 const CALLS_AT_ONCE: (f64, f64) = (3.0, 8.0);
 /// Part of the wait for a counter call within which its answer counts as quick.
 const QUICK_PART: f64 = 0.4;
-/// Part of what a store holds that all gateways of a set together may keep to themselves, and us for how long.
+/// Part of what a store holds that a set of gateways may keep to itself together, and us for how long.
 const TELL_PART: f64 = 0.5;
 const TELL_AFTER: Micros = 500_000;
 /// Units of doubt that count, in standard deviations of chance.
