Serve on after SIGTERM for as long as what is taken can be answered

At fault: signals.rs, OVERLAP of 0.5 s. Change: after SIGTERM the platform's gatekeeper serves until 0.75 s before it may be killed; the exchange cuts deadlines so that all that is taken then is answered in time; a long value that is under way begins the closing at once. Appliance and upgrades end as before. What signals act on is a trait now. A loopback test fails without it.

--- a/crates/exchange/src/core.rs
+++ b/crates/exchange/src/core.rs
@@ -96,6 +96,8 @@
     pub(crate) effects: VecDeque<Effect<Q, A>>,
     /// Someone is carrying out effects.
     pub(crate) performing: bool,
+    /// No operation has a later deadline.
+    end: Micros,
     queue: VecDeque<Event>,
     actions: Vec<Action>,
     pub(crate) timers: Timers,
@@ -125,6 +127,7 @@
             streams: HashMap::new(),
             effects: VecDeque::new(),
             performing: false,
+            end: Micros::MAX,
             queue: VecDeque::new(),
             actions: Vec::new(),
             timers: Timers::default(),
@@ -140,7 +143,8 @@
         self.next_operation = id.wrapping_add(1);
         let Operation { class, plan, customer, time_left, set_size, units, repeat, account, query } =
             operation;
-        let deadline = now.saturating_add(time_left);
+        let deadline = now.saturating_add(time_left).min(self.end);
+        let time_left = deadline.saturating_sub(now);
         let (query, reply, steps) = (Arc::new(query), Some(reply), Vec::new());
         let service = self.services.get(usize::from(class)).copied().unwrap_or(0);
         let entry = Entry {
@@ -162,6 +166,15 @@
         id
     }
 
+    /// What is taken from now on is over by then.
+    pub(crate) fn end_by(&mut self, end: Micros) {
+        self.end = end;
+    }
+
+    pub(crate) fn streaming(&self) -> usize {
+        self.streams.len()
+    }
+
     /// Hands one event to the module and carries out what it asks for; what follows from that at once is fed too.
     pub(crate) fn feed(&mut self, now: Micros, event: Event) {
         self.queue.push_back(event);
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -11,7 +11,7 @@
 
 use dewproxy::interface::{BackendEntry, Event, ListKind, Micros, Outcome, Settings, SettingsError};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 pub use crate::core::{Ends, Status};
 pub use crate::stream::{Budget, StreamIn, StreamOut, Taken, Told, Value, stream};
@@ -210,6 +210,16 @@
         id
     }
 
+    /// The process will end: what is taken from now on has its final answer within this span, however long its client would wait.
+    pub fn end_within(&self, span: Duration) {
+        self.drive(|core, now| core.end_by(now + span.as_micros() as Micros));
+    }
+
+    /// How many answers are being passed on.
+    pub fn streaming(&self) -> usize {
+        self.lock().streaming()
+    }
+
     /// The client of this operation has gone away: it needs no answer, and its steps are given up.
     pub fn left(&self, id: OperationId) {
         self.drive(|core, now| core.left(now, id));
--- a/crates/front_resp/src/lib.rs
+++ b/crates/front_resp/src/lib.rs
@@ -264,6 +264,11 @@
         self.wake_all();
     }
 
+    /// Whether nothing is let in, as another process goes on.
+    pub fn is_frozen(&self) -> bool {
+        self.frozen.load(Ordering::Acquire)
+    }
+
     fn wake_all(&self) {
         for socket in self.open_sockets() {
             socket.link.wake();
--- a/crates/snowfield/src/appliance.rs
+++ b/crates/snowfield/src/appliance.rs
@@ -74,32 +74,48 @@
     let longest = file.classes.iter().map(|c| c.deadline_ms).max().unwrap_or(0);
     let folder = path.parent().unwrap_or(Path::new("."));
     let shared = duties::settings(&file, folder)?;
-    let Started { front, door, cluster, registered } = start(file, table, shared, folder)?;
-    signals::serve_until(
-        caught,
-        &door,
-        || Duration::from_millis(longest),
-        // Routes, lenders and plans are part of the decisions in hand: they change with a restart, which loses nothing.
-        || match &cluster {
-            Some(cluster) => duties::reload(path, cluster),
-            None => println!("reload: SIGHUP changes nothing here; a restart takes the new file"),
-        },
-        || {
-            // First of all, so that the others take over while this instance finishes.
-            if let Some(registered) = &registered {
-                registered.end();
-            }
-            if let Some(cluster) = &cluster {
-                cluster.leave();
-            }
-            front.close();
-        },
-        || front.open(),
-    );
+    let started = start(file, table, shared, folder)?;
+    let serving = Serving { started: &started, longest: Duration::from_millis(longest), path };
+    signals::serve_until(caught, &started.door, &serving);
     Ok(())
 }
 
 /// What signals act on.
+struct Serving<'a> {
+    started: &'a Started,
+    longest: Duration,
+    path: &'a Path,
+}
+
+impl signals::Serving for Serving<'_> {
+    /// Routes, lenders and plans are part of the decisions in hand: they change with a restart, which loses nothing.
+    fn reload(&self) {
+        match &self.started.cluster {
+            Some(cluster) => duties::reload(self.path, cluster),
+            None => println!("reload: SIGHUP changes nothing here; a restart takes the new file"),
+        }
+    }
+
+    fn close(&self) {
+        // First of all, so that the others take over while this instance finishes.
+        if let Some(registered) = &self.started.registered {
+            registered.end();
+        }
+        if let Some(cluster) = &self.started.cluster {
+            cluster.leave();
+        }
+        self.started.front.close();
+    }
+
+    fn open(&self) -> usize {
+        self.started.front.open()
+    }
+
+    fn longest(&self) -> Duration {
+        self.longest
+    }
+}
+
 struct Started {
     front: Arc<Front>,
     door: Arc<Door>,
--- a/crates/snowfield/src/platform.rs
+++ b/crates/snowfield/src/platform.rs
@@ -49,27 +49,63 @@
     }
     link::set_up();
     let parts = start(config, shape)?;
-    let Parts { front, door, desk, upgrade, .. } = &parts;
-    signals::serve_until(
-        caught,
-        door,
-        || Duration::from_micros(parts.longest.load(Ordering::Relaxed)),
-        || {
-            let taken = parts.reload(&path);
-            if let Err(text) = &taken {
-                println!("reload: {text}; the old settings stay");
-            }
-            desk.reloaded(taken.is_ok());
-        },
-        || {
-            desk.set_ending();
-            front.close();
-        },
-        || front.open() + upgrade.passing.load(Ordering::Acquire),
-    );
+    signals::serve_until(caught, &parts.door, &Serving { parts: &parts, path: &path });
     Ok(())
 }
 
+/// What signals act on, and the file that SIGHUP reads.
+struct Serving<'a> {
+    parts: &'a Parts,
+    path: &'a str,
+}
+
+impl signals::Serving for Serving<'_> {
+    fn reload(&self) {
+        let taken = self.parts.reload(self.path);
+        if let Err(text) = &taken {
+            println!("reload: {text}; the old settings stay");
+        }
+        self.parts.desk.reloaded(taken.is_ok());
+    }
+
+    /// Clients may call a gatekeeper for seconds that is gone, so it serves for as long as it can answer before it is killed.
+    fn begin_end(&self) -> Duration {
+        if self.parts.upgrade.has_given() {
+            return signals::OVERLAP;
+        }
+        let killed = self.longest().min(LONGEST_WAIT) + KILLED_AFTER;
+        let answered = killed.saturating_sub(BEFORE_KILL);
+        self.parts.upgrade.exchange.end_within(answered);
+        answered.saturating_sub(LAST_TAKEN).max(signals::OVERLAP)
+    }
+
+    /// A long value may take its client seconds.
+    fn must_close(&self) -> bool {
+        self.parts.upgrade.has_given() || self.parts.upgrade.exchange.streaming() > 0
+    }
+
+    fn close(&self) {
+        self.parts.desk.set_ending();
+        self.parts.front.close();
+    }
+
+    fn open(&self) -> usize {
+        self.parts.front.open() + self.parts.upgrade.passing.load(Ordering::Acquire)
+    }
+
+    fn longest(&self) -> Duration {
+        Duration::from_micros(self.parts.longest.load(Ordering::Relaxed))
+    }
+}
+
+/// SIGKILL comes no sooner after SIGTERM than the longest deadline, of which no more than this counts, and so much later.
+const LONGEST_WAIT: Duration = Duration::from_secs(3);
+const KILLED_AFTER: Duration = Duration::from_millis(700);
+/// All that is taken after SIGTERM is answered so long before SIGKILL: a busy worker may be late by that.
+const BEFORE_KILL: Duration = Duration::from_millis(150);
+/// Nothing new is taken for so long before that: what is taken last should still be served, and most is within this.
+const LAST_TAKEN: Duration = Duration::from_millis(600);
+
 /// The most bytes of a configuration.
 const LARGEST_FILE: u64 = 16 * 1024 * 1024;
 
--- a/crates/snowfield/src/signals.rs
+++ b/crates/snowfield/src/signals.rs
@@ -7,9 +7,31 @@
 use std::time::{Duration, Instant};
 
 /// After SIGTERM new connections still come for up to 0.4 s.
-const OVERLAP: Duration = Duration::from_millis(500);
+pub const OVERLAP: Duration = Duration::from_millis(500);
 /// Past the longest deadline nothing can be unanswered.
 const LAST_CALL: Duration = Duration::from_millis(300);
+/// Between two looks whether all is answered.
+const LOOK: Duration = Duration::from_millis(5);
+
+/// What the signals act on.
+pub trait Serving {
+    /// SIGHUP: takes the file anew. Runs on the caller's thread, off the worker.
+    fn reload(&self);
+    /// SIGTERM or SIGINT has come. Tells for how long clients are still served as before.
+    fn begin_end(&self) -> Duration {
+        OVERLAP
+    }
+    /// Whether closing has to begin now, though that time is not over.
+    fn must_close(&self) -> bool {
+        false
+    }
+    /// Has the front close each socket once it is between requests.
+    fn close(&self);
+    /// How many front sockets are left.
+    fn open(&self) -> usize;
+    /// No operation can be unanswered for longer than this.
+    fn longest(&self) -> Duration;
+}
 
 /// Signals are caught from here on, so that one during the start is not lost and a reload never ends the program.
 ///
@@ -20,30 +42,25 @@
     Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| format!("signals: {e}"))
 }
 
-/// Calls `reload` at each SIGHUP, on this thread and so off the worker, until a signal says to end; then ends in good
-/// order. `close` has the front close each socket once it is between requests, and `open` tells how many are left; none
-/// can have work after `longest`.
-pub fn serve_until(
-    mut signals: Signals,
-    door: &Door,
-    longest: impl Fn() -> Duration,
-    reload: impl Fn(),
-    close: impl Fn(),
-    open: impl Fn() -> usize,
-) {
+/// Serves until a signal says to end; then ends in good order, and shuts `door` meanwhile.
+pub fn serve_until(mut signals: Signals, door: &Door, serving: &impl Serving) {
     for signal in signals.forever() {
         if signal != SIGHUP {
             println!("signal {signal}: serving the overlap, then finishing");
             break;
         }
-        reload();
+        serving.reload();
+    }
+    let (begun, overlap) = (Instant::now(), serving.begin_end());
+    std::thread::sleep(OVERLAP.min(overlap));
+    while begun.elapsed() < overlap && !serving.must_close() {
+        std::thread::sleep(LOOK);
     }
-    std::thread::sleep(OVERLAP);
     door.shut();
-    close();
-    let (begun, longest) = (Instant::now(), longest());
-    while open() > 0 && begun.elapsed() < longest + LAST_CALL {
-        std::thread::sleep(Duration::from_millis(5));
+    serving.close();
+    let (begun, longest) = (Instant::now(), serving.longest());
+    while serving.open() > 0 && begun.elapsed() < longest + LAST_CALL {
+        std::thread::sleep(LOOK);
     }
-    println!("stopped with {} front sockets open", open());
+    println!("stopped with {} front sockets open", serving.open());
 }
--- a/crates/snowfield/src/upgrade.rs
+++ b/crates/snowfield/src/upgrade.rs
@@ -119,6 +119,11 @@
         });
     }
 
+    /// Whether another program serves in this one's place.
+    pub fn has_given(&self) -> bool {
+        self.front.is_frozen()
+    }
+
     fn serve_heir(self: &Arc<Self>, peer: &Arc<Peer>, door: &Arc<Door>) {
         match peer.receive(Some(STEP)) {
             Ok((Message::Hello { version: VERSION }, _)) => {}
--- a/crates/snowfield/tests/platform.rs
+++ b/crates/snowfield/tests/platform.rs
@@ -382,6 +382,36 @@
     assert_eq!(site.program.wait(), Some(0));
 }
 
+/// Guards planned restarts: a gatekeeper that ended half a second after SIGTERM left clients calling nobody for seconds. It is
+/// killed 3.2 s after SIGTERM here, and nothing that it takes may be unanswered then.
+#[test]
+fn after_sigterm_it_serves_on_and_all_is_answered_before_the_kill() {
+    // Odd ids are never answered.
+    let (at, _seen) = destination(command, |words| {
+        let odd = words[2].ends_with(['1', '3', '5', '7', '9']);
+        if odd { Does::Nothing } else { Does::Say(value(&words[2])) }
+    });
+    let mut site = site("lasting", &Shape { destinations: &[at], ..Shape::default() });
+    let mut kept = Client::connect(site.listen);
+    kept.send(&query(2, 2_400, 1));
+    assert_eq!(kept.reply(), id(2));
+    site.program.terminate();
+    site.program.logged("signal 15");
+    let begun = std::time::Instant::now();
+    // Its busy reply is the clock: no sooner than 1.2 s after the signal.
+    let mut clock = Client::connect(site.listen);
+    clock.send(&query(1, 1_400, 1));
+    assert!(clock.reply().starts_with("-BUSY"));
+    assert!(begun.elapsed().as_millis() > 1_200);
+    kept.send(&query(4, 2_400, 1));
+    assert_eq!(kept.reply(), id(4), "served long after the signal");
+    kept.send(&query(3, 2_400, 1));
+    assert!(kept.reply().starts_with("-BUSY"), "told to come back, though its client would wait for longer");
+    assert!(begun.elapsed().as_millis() < 3_200, "{:?}", begun.elapsed());
+    assert!(kept.ended() && clock.ended());
+    assert_eq!(site.program.wait(), Some(0));
+}
+
 /// Guards reloads: SIGHUP once ended the program. Discovery and the counter move, what was taken is answered, a bad file
 /// changes nothing, and SIGTERM still ends it in good order.
 #[test]
