Listen in tests on ports that no client's socket is given

Seen: once in five runs of the tests an appliance could not start, address already in use. The port was found free and let go, and a client's socket of another test took it before the program listened. Ports now come from below the system's range for clients.

--- a/crates/snowfield/tests/common/mod.rs
+++ b/crates/snowfield/tests/common/mod.rs
@@ -9,6 +9,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -128,9 +129,14 @@
     address
 }
 
-/// An address on which nobody listens.
+/// An address on which nobody listens. Its port is below those that the system gives to clients' sockets, or one of these
+/// may take it before the program does that is to listen there.
 pub fn nobody() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port")
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let from = std::process::id().wrapping_mul(64);
+    let port = || 16_000 + (from.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % 16_000) as u16;
+    let free = std::iter::repeat_with(port).find_map(|port| TcpListener::bind(("127.0.0.1", port)).ok());
+    free.and_then(|l| l.local_addr().ok()).expect("a free port")
 }
 
 fn line(from: &mut impl BufRead) -> Option<String> {
