Add the rig's links, schedules, history and checkers, and say how faults are brought about

Need: each proof has a site of its own, nothing cuts TCP between chosen pairs, nothing is replayable and what is checked is written anew each time.

Change: crates/rig with links between parties (streams and datagrams, each ordered pair spoilt alone: cut, closed, reset in the middle of a message, loss, repetition, reordering, delay, throttling), schedules as files that follow from a seed, one history in JSON lines by the monotonic clock, and seven checkers that are pure functions over it. docs/design/faults.md weighs it against name spaces, preloaded libraries and simulated time.

Result: ten tests; each checker finds a history made by hand that breaks its rule and no other, and passes a good one.

--- /dev/null
+++ b/crates/rig/src/checks.rs
@@ -0,0 +1,408 @@
+//! The rules, as pure functions over a history. What excuses what is in docs/design/faults.md.
+
+use crate::history::{End, Record, What};
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+/// us
+const SECOND: u64 = 1_000_000;
+
+/// A rule that was broken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Violation {
+    /// Which.
+    pub rule: &'static str,
+    /// What was seen.
+    pub text: String,
+}
+
+/// The figures that the rules go by.
+#[derive(Clone, Debug)]
+pub struct Bounds {
+    /// ms; an operation has its final answer by then ...
+    pub deadline: u64,
+    /// ms; ... and this, for a machine that does other things beside it.
+    pub late: u64,
+    /// Hard ceilings by lender: units a second, units at once, and the largest request.
+    pub ceilings: BTreeMap<String, (f64, f64, f64)>,
+    /// ms; nothing new reaches a loan server later than this after a program says that it takes no work.
+    pub drain: u64,
+    /// ms; all agree again by then after the last fault.
+    pub agree: u64,
+    /// What a program may hold: kB, descriptors, threads.
+    pub holds: (u64, u64, u64),
+}
+
+/// All that is broken in a history.
+pub fn check(history: &[Record], bounds: &Bounds) -> Vec<Violation> {
+    let all = [answers, ceilings, drained, rounds, exits, holds, agreed];
+    all.iter().flat_map(|rule| rule(history, bounds)).collect()
+}
+
+fn violation(rule: &'static str, text: String) -> Violation {
+    Violation { rule, text }
+}
+
+/// When each program's clients may miss an answer, as spans of time.
+fn hits(history: &[Record]) -> HashMap<&str, Vec<(u64, u64)>> {
+    let mut open: HashMap<usize, (u64, &[String])> = HashMap::new();
+    let mut spans: HashMap<&str, Vec<(u64, u64)>> = HashMap::new();
+    for record in history {
+        let What::Fault { number, begins, hits, .. } = &record.what else { continue };
+        if *begins {
+            open.insert(*number, (record.at, hits));
+        } else if let Some((from, hits)) = open.remove(number) {
+            hits.iter().for_each(|who| spans.entry(who).or_default().push((from, record.at)));
+        }
+    }
+    for (from, hits) in open.into_values() {
+        hits.iter().for_each(|who| spans.entry(who).or_default().push((from, u64::MAX)));
+    }
+    spans
+}
+
+/// Each operation that a program took has one final answer, its own, and in time.
+pub fn answers(history: &[Record], bounds: &Bounds) -> Vec<Violation> {
+    const RULE: &str = "one final answer in time";
+    let hits = hits(history);
+    let longest = (bounds.deadline + bounds.late) * 1_000;
+    let mut open: BTreeMap<u64, (u64, &str)> = BTreeMap::new();
+    let mut found = Vec::new();
+    // What was asked through a program while a fault hit it, or came up within the operation's time.
+    let excused = |asked: u64, until: u64, via: &str| {
+        hits.get(via).is_some_and(|spans| spans.iter().any(|&(from, to)| from <= until && to >= asked))
+    };
+    for record in history {
+        match &record.what {
+            What::Asked { op, via, .. } if open.insert(*op, (record.at, via)).is_some() => {
+                found.push(violation(RULE, format!("operation {op} was asked twice")));
+            }
+            What::Ended { op, end } => {
+                let Some((asked, via)) = open.remove(op) else {
+                    if *end != End::Untaken {
+                        found.push(violation(RULE, format!("operation {op} has more than one end")));
+                    }
+                    continue;
+                };
+                let took = record.at - asked;
+                match end {
+                    End::Foreign => {
+                        found.push(violation(
+                            RULE,
+                            format!("operation {op} got the answer of another, by {via}"),
+                        ));
+                    }
+                    End::Broken if !excused(asked, record.at, via) => found.push(violation(
+                        RULE,
+                        format!("operation {op} has no answer from {via} after {} ms", took / 1_000),
+                    )),
+                    End::Served | End::Refused | End::Failed
+                        if took > longest && !excused(asked, record.at, via) =>
+                    {
+                        found.push(violation(
+                            RULE,
+                            format!("operation {op} was answered by {via} after {} ms", took / 1_000),
+                        ));
+                    }
+                    _ => {}
+                }
+            }
+            _ => {}
+        }
+    }
+    let last = history.last().map_or(0, |r| r.at);
+    for (op, (asked, via)) in open {
+        if last - asked > longest && !excused(asked, last, via) {
+            found.push(violation(RULE, format!("operation {op} through {via} never ended for its client")));
+        }
+    }
+    found
+}
+
+/// No lender passes its hard ceiling, counted where first attempts arrive, by more than the slack.
+pub fn ceilings(history: &[Record], bounds: &Bounds) -> Vec<Violation> {
+    let mut asked: HashMap<u64, (&str, f64)> = HashMap::new();
+    // By lender: what the store holds, and since when.
+    let mut stores: HashMap<&str, (f64, u64)> = HashMap::new();
+    let mut worst: BTreeMap<&str, (f64, u64)> = BTreeMap::new();
+    for record in history {
+        match &record.what {
+            What::Asked { op, lender, units, .. } => {
+                asked.insert(*op, (lender, *units));
+            }
+            What::Arrived { op, .. } => {
+                // Only the first attempt counts.
+                let Some((lender, units)) = asked.remove(op) else { continue };
+                let Some(&(rate, burst, _)) = bounds.ceilings.get(lender) else { continue };
+                let (level, at) = stores.entry(lender).or_insert((burst, record.at));
+                *level = (*level + rate * (record.at - *at) as f64 / 1e6).min(burst) - units;
+                *at = record.at;
+                let low = worst.entry(lender).or_insert((f64::MAX, 0));
+                if *level < low.0 {
+                    *low = (*level, record.at);
+                }
+            }
+            _ => {}
+        }
+    }
+    let begun = history.first().map_or(0, |r| r.at);
+    let past = |(lender, (level, at)): (&str, (f64, u64))| {
+        let &(rate, burst, largest) = bounds.ceilings.get(lender)?;
+        // What is on its way to a loan server may be seen late by so much.
+        let slack = (0.1 * burst).max(largest) + rate * bounds.late as f64 / 1_000.0;
+        let text = || {
+            let ms = (at - begun) / 1_000;
+            format!("{lender} is {:.1} units past its ceiling at {ms} ms, {slack:.1} allowed", -level)
+        };
+        (-level > slack).then(|| violation("hard ceiling", text()))
+    };
+    worst.into_iter().filter_map(past).collect()
+}
+
+/// Nothing new reaches a loan server later than the bound after a program's own log says that it takes no work.
+pub fn drained(history: &[Record], bounds: &Bounds) -> Vec<Violation> {
+    let mut out: HashMap<(&str, String), u64> = HashMap::new();
+    let mut found = Vec::new();
+    for record in history {
+        match &record.what {
+            What::Line { who, text } => {
+                let words = text.strip_prefix("consul: ").and_then(|t| t.split_once(": ")).map(|t| t.1);
+                let Some((server, word)) = words.and_then(|t| t.split_once(' ')) else { continue };
+                if word.starts_with("takes no work") {
+                    out.insert((who, server.to_owned()), record.at);
+                } else if word.starts_with("takes work") {
+                    out.remove(&(who.as_str(), server.to_owned()));
+                }
+            }
+            What::Started { who } => out.retain(|(by, _), _| by != who),
+            What::Arrived { op, server, via } => {
+                let since = out.get(&(via.as_str(), server.clone()));
+                let late = since.map_or(0, |since| (record.at - since) / 1_000);
+                if late > bounds.drain + bounds.late {
+                    found.push(violation(
+                        "nothing new to who takes no work",
+                        format!("operation {op} reached {server} from {via} {late} ms after it said so"),
+                    ));
+                }
+            }
+            _ => {}
+        }
+    }
+    found
+}
+
+/// No round of a duty runs twice.
+pub fn rounds(history: &[Record], _: &Bounds) -> Vec<Violation> {
+    let mut ran: HashMap<(&str, u64), &str> = HashMap::new();
+    let mut found = Vec::new();
+    for record in history {
+        let What::Ran { duty, round, by } = &record.what else { continue };
+        if let Some(before) = ran.insert((duty, *round), by) {
+            let text = format!("round {round} of {duty} was run by {before} and by {by}");
+            found.push(violation("no round twice", text));
+        }
+    }
+    found
+}
+
+/// No program ends but when it is told to, and one that is told to end in order ends with 0.
+pub fn exits(history: &[Record], _: &Bounds) -> Vec<Violation> {
+    let wrong = |record: &Record| match &record.what {
+        What::Exited { who, code, told } if !told || (*code != 0 && *code != -9) => {
+            let lines: Vec<&str> = history
+                .iter()
+                .filter_map(|r| match &r.what {
+                    What::Line { who: by, text } if by == who => Some(text.as_str()),
+                    _ => None,
+                })
+                .collect();
+            let last = lines.last().copied().unwrap_or_default();
+            Some(violation("no exit unasked", format!("{who} ended with {code}; its last line: {last}")))
+        }
+        _ => None,
+    };
+    history.iter().filter_map(wrong).collect()
+}
+
+/// Memory, descriptors and threads stay bounded.
+pub fn holds(history: &[Record], bounds: &Bounds) -> Vec<Violation> {
+    let mut told = HashSet::new();
+    let mut found = Vec::new();
+    for record in history {
+        let What::Holds { who, kb, files, threads } = &record.what else { continue };
+        let (most_kb, most_files, most_threads) = bounds.holds;
+        if (*kb > most_kb || *files > most_files || *threads > most_threads) && told.insert(who) {
+            let text = format!("{who} holds {kb} kB, {files} descriptors and {threads} threads");
+            found.push(violation("bounded memory, descriptors and threads", text));
+        }
+    }
+    found
+}
+
+/// All agree again in time after the last fault.
+pub fn agreed(history: &[Record], bounds: &Bounds) -> Vec<Violation> {
+    let late = |record: &Record| match &record.what {
+        What::Agreed { after, apart } if after.is_none_or(|ms| ms > bounds.agree) => {
+            let after = after.map_or("never".into(), |ms| format!("after {ms} ms"));
+            Some(violation(
+                "all agree again",
+                format!("{after}, {} ms allowed; apart: {apart}", bounds.agree),
+            ))
+        }
+        _ => None,
+    };
+    let mut found: Vec<Violation> = history.iter().filter_map(late).collect();
+    if !history.iter().any(|r| matches!(r.what, What::Agreed { .. })) {
+        found.push(violation("all agree again", "nobody has looked".into()));
+    }
+    found
+}
+
+/// How long operations that were open longest took, in s, at the most: for a table, no rule.
+pub fn operations(history: &[Record]) -> BTreeMap<End, u64> {
+    let mut ends = BTreeMap::new();
+    for record in history {
+        if let What::Ended { end, .. } = &record.what {
+            *ends.entry(*end).or_default() += 1;
+        }
+    }
+    ends
+}
+
+/// The longest stretch without a served operation, in ms, between two times in us: for a table, no rule.
+pub fn longest_unserved(history: &[Record], from: u64, to: u64) -> u64 {
+    let served = |r: &&Record| matches!(r.what, What::Ended { end: End::Served, .. });
+    let mut last = from;
+    let mut longest = 0;
+    for record in history.iter().filter(|r| r.at >= from && r.at <= to).filter(served) {
+        longest = longest.max(record.at - last);
+        last = record.at;
+    }
+    longest.max(to.saturating_sub(last)) * 1_000 / SECOND
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn bounds() -> Bounds {
+        Bounds {
+            deadline: 1_000,
+            late: 400,
+            ceilings: [("greedy".to_owned(), (20.0, 40.0, 4.0))].into(),
+            drain: 1_000,
+            agree: 5_000,
+            holds: (50_000, 500, 40),
+        }
+    }
+
+    /// A history from times in ms.
+    fn history(list: &[(u64, What)]) -> Vec<Record> {
+        list.iter().map(|(ms, what)| Record { at: ms * 1_000, what: what.clone() }).collect()
+    }
+
+    fn asked(op: u64, via: &str) -> What {
+        What::Asked { op, lender: "greedy".into(), units: 1.0, via: via.into() }
+    }
+
+    fn ended(op: u64, end: End) -> What {
+        What::Ended { op, end }
+    }
+
+    fn fault(begins: bool, hits: &[&str]) -> What {
+        let hits = hits.iter().map(|h| (*h).to_owned()).collect();
+        What::Fault { number: 0, kind: "killed".into(), begins, hits }
+    }
+
+    fn line(text: &str) -> What {
+        What::Line { who: "m0".into(), text: text.into() }
+    }
+
+    fn arrived(op: u64) -> What {
+        What::Arrived { op, server: "l0".into(), via: "m0".into() }
+    }
+
+    #[test]
+    fn a_good_history_breaks_nothing() {
+        let good = history(&[
+            (0, What::Started { who: "m0".into() }),
+            (1, asked(1, "m0")),
+            (2, arrived(1)),
+            (3, ended(1, End::Served)),
+            (4, fault(true, &["m0"])),
+            (5, asked(2, "m0")),
+            (6, ended(2, End::Broken)),
+            (7, fault(false, &["m0"])),
+            (8, line("consul: loan-server: l0 takes no work: critical")),
+            (900, arrived(3)),
+            (901, line("consul: loan-server: l0 takes work")),
+            (9_000, arrived(4)),
+            (9_001, What::Ran { duty: "d".into(), round: 1, by: "m0".into() }),
+            (9_002, What::Ran { duty: "d".into(), round: 2, by: "m1".into() }),
+            (9_003, What::Holds { who: "m0".into(), kb: 9_000, files: 40, threads: 20 }),
+            (9_004, What::Exited { who: "m0".into(), code: -9, told: true }),
+            (9_005, What::Agreed { after: Some(700), apart: String::new() }),
+        ]);
+        assert_eq!(check(&good, &bounds()), []);
+        let mut text = Vec::new();
+        crate::history::write(&good, &mut text).expect("it is written");
+        assert_eq!(crate::history::read(&String::from_utf8_lossy(&text)), Ok(good));
+    }
+
+    /// For each rule a history that breaks it, and only it.
+    #[test]
+    fn each_checker_finds_what_it_is_for() {
+        let agreed = (20_000, What::Agreed { after: Some(1), apart: String::new() });
+        let ran = |by: &str| What::Ran { duty: "d".into(), round: 7, by: by.into() };
+        let crowd: Vec<(u64, What)> =
+            (0..60).flat_map(|op| [(op, asked(op, "m0")), (op, arrived(op))]).collect();
+        let cases: Vec<(&str, Vec<(u64, What)>)> = vec![
+            ("one final answer in time", vec![(1, asked(1, "m0")), (9, ended(1, End::Broken))]),
+            ("one final answer in time", vec![(1, asked(1, "m0")), (1_900, ended(1, End::Served))]),
+            ("one final answer in time", vec![(1, asked(1, "m0")), (9, ended(1, End::Foreign))]),
+            ("one final answer in time", vec![(1, asked(1, "m0"))]),
+            (
+                "one final answer in time",
+                vec![(1, asked(1, "m0")), (2, ended(1, End::Served)), (3, ended(1, End::Served))],
+            ),
+            (
+                // The fault hit another one.
+                "one final answer in time",
+                vec![(0, fault(true, &["m1"])), (1, asked(1, "m0")), (9, ended(1, End::Broken))],
+            ),
+            ("hard ceiling", crowd),
+            (
+                "nothing new to who takes no work",
+                vec![(1, line("consul: loan-server: l0 takes no work: gone")), (1_500, arrived(9))],
+            ),
+            ("no round twice", vec![(1, ran("m0")), (2, ran("m1"))]),
+            ("no exit unasked", vec![(1, What::Exited { who: "m0".into(), code: 0, told: false })]),
+            ("no exit unasked", vec![(1, What::Exited { who: "m0".into(), code: 101, told: true })]),
+            (
+                "bounded memory, descriptors and threads",
+                vec![(1, What::Holds { who: "m0".into(), kb: 9_000, files: 900, threads: 20 })],
+            ),
+            ("all agree again", vec![(1, What::Agreed { after: None, apart: "m1 sees 2".into() })]),
+        ];
+        for (rule, list) in cases {
+            let ends: Vec<(u64, What)> = match rule {
+                // What this rule is not about has its end.
+                "hard ceiling" => (0..60).map(|op| (100, ended(op, End::Served))).collect(),
+                _ => Vec::new(),
+            };
+            let found =
+                check(&history(&[&list[..], &ends, std::slice::from_ref(&agreed)].concat()), &bounds());
+            assert!(!found.is_empty() && found.iter().all(|v| v.rule == rule), "{rule}: {found:?}");
+        }
+    }
+
+    #[test]
+    fn a_ceiling_counts_first_attempts_and_fills_with_time() {
+        // 40 at once and 20 a second: four a tick of 200 ms, each with a second attempt.
+        let mut list = Vec::new();
+        for op in 0..200 {
+            let at = op / 4 * 200;
+            list.extend([(at, asked(op, "m0")), (at, arrived(op)), (at, arrived(op))]);
+        }
+        assert_eq!(ceilings(&history(&list), &bounds()), []);
+    }
+}
--- /dev/null
+++ b/crates/rig/src/process.rs
@@ -0,0 +1,209 @@
+//! A real program as a child, with its log, its signals and its end.
+
+use crate::history::{Recorder, What};
+use rustix::process::{Pid, Signal, kill_process};
+use std::io::{BufRead, BufReader};
+use std::os::unix::process::ExitStatusExt;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Longer than any step of a program may take.
+pub const LONG: Duration = Duration::from_secs(20);
+/// A slowed program runs for this ...
+const RUNS: Duration = Duration::from_millis(5);
+/// ... and then stands still for this.
+const STANDS: Duration = Duration::from_millis(45);
+
+#[derive(Debug, Default)]
+struct Seen {
+    lines: Vec<String>,
+    ended: bool,
+}
+
+/// A running program.
+#[derive(Debug)]
+pub struct Process {
+    who: String,
+    pid: Pid,
+    seen: Arc<(Mutex<Seen>, Condvar)>,
+    /// The rig ends it.
+    told: Arc<AtomicBool>,
+    /// It is to be slow.
+    slow: Arc<AtomicBool>,
+}
+
+fn held(seen: &(Mutex<Seen>, Condvar)) -> MutexGuard<'_, Seen> {
+    seen.0.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
+impl Process {
+    /// Starts it. All that it writes goes into the history.
+    ///
+    /// # Errors
+    ///
+    /// It cannot be started.
+    pub fn start(
+        who: &str,
+        build: &Path,
+        words: &[&str],
+        variables: &[(&str, String)],
+        recorder: &Recorder,
+    ) -> std::io::Result<Self> {
+        let mut child = Command::new(build)
+            .args(words)
+            .envs(variables.iter().map(|(name, value)| (name, value)))
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()?;
+        let pid = Pid::from_child(&child);
+        recorder.note(What::Started { who: who.to_owned() });
+        let seen = Arc::<(Mutex<Seen>, Condvar)>::default();
+        let told = Arc::new(AtomicBool::new(false));
+        let mut readers = Vec::new();
+        if let Some(out) = child.stdout.take() {
+            readers.push(reads(who, BufReader::new(out), recorder, &seen));
+        }
+        if let Some(out) = child.stderr.take() {
+            readers.push(reads(who, BufReader::new(out), recorder, &seen));
+        }
+        let (ended, was_told, name, noted) = (seen.clone(), told.clone(), who.to_owned(), recorder.clone());
+        thread::spawn(move || {
+            let status = child.wait();
+            // What it wrote last is in the history before its end.
+            readers.into_iter().for_each(|reader| drop(reader.join()));
+            let code = status.map_or(i32::MIN, |s| s.code().unwrap_or_else(|| -s.signal().unwrap_or(0)));
+            let told = was_told.load(Ordering::Relaxed);
+            noted.note(What::Exited { who: name, code, told });
+            held(&ended).ended = true;
+            ended.1.notify_all();
+        });
+        Ok(Self { who: who.to_owned(), pid, seen, told, slow: Arc::default() })
+    }
+
+    /// Waits for a line that holds this text; tells whether one came before the program's end and in time.
+    pub fn logged(&self, text: &str) -> bool {
+        let waits = |seen: &mut Seen| !seen.ended && !seen.lines.iter().any(|l| l.contains(text));
+        let done = self.seen.1.wait_timeout_while(held(&self.seen), LONG, waits);
+        done.map_or_else(|e| e.into_inner().0, |d| d.0).lines.iter().any(|l| l.contains(text))
+    }
+
+    /// Whether it has ended.
+    pub fn has_ended(&self) -> bool {
+        held(&self.seen).ended
+    }
+
+    /// Waits for its end; false where it does not come in time.
+    pub fn wait(&self, within: Duration) -> bool {
+        let done = self.seen.1.wait_timeout_while(held(&self.seen), within, |seen| !seen.ended);
+        done.map_or_else(|e| e.into_inner().0, |d| d.0).ended
+    }
+
+    fn signal(&self, signal: Signal) {
+        // A number is another's only after the end was waited for.
+        let seen = held(&self.seen);
+        if !seen.ended {
+            let _ = kill_process(self.pid, signal);
+        }
+    }
+
+    /// Kills it and waits for its end.
+    pub fn kill(&self) {
+        self.told.store(true, Ordering::Relaxed);
+        self.signal(Signal::KILL);
+        self.wait(LONG);
+    }
+
+    /// Tells it to end in order.
+    pub fn end(&self) {
+        self.told.store(true, Ordering::Relaxed);
+        self.signal(Signal::TERM);
+    }
+
+    /// Stops it until [`Process::go_on`].
+    pub fn stop(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// It runs again, at full speed.
+    pub fn go_on(&self) {
+        self.slow.store(false, Ordering::Relaxed);
+        self.signal(Signal::CONT);
+    }
+
+    /// Stops it nine tenths of the time until [`Process::go_on`].
+    pub fn slow_down(&self) {
+        if self.slow.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        let (slow, seen, pid) = (self.slow.clone(), self.seen.clone(), self.pid);
+        thread::spawn(move || {
+            let say = |signal| {
+                let seen = held(&seen);
+                !seen.ended && kill_process(pid, signal).is_ok()
+            };
+            while slow.load(Ordering::Relaxed) && say(Signal::STOP) {
+                thread::sleep(STANDS);
+                if !say(Signal::CONT) {
+                    return;
+                }
+                thread::sleep(RUNS);
+            }
+        });
+    }
+
+    /// Memory in kB, descriptors and threads that it has now.
+    pub fn holds(&self) -> Option<(u64, u64, u64)> {
+        let folder = PathBuf::from(format!("/proc/{}", self.pid.as_raw_nonzero()));
+        let status = std::fs::read_to_string(folder.join("status")).ok()?;
+        let number = |name: &str| -> Option<u64> {
+            status.lines().find_map(|l| l.strip_prefix(name))?.split_whitespace().next()?.parse().ok()
+        };
+        let files = std::fs::read_dir(folder.join("fd")).ok()?.count() as u64;
+        Some((number("VmRSS:")?, files, number("Threads:")?))
+    }
+
+    /// Its name.
+    pub fn who(&self) -> &str {
+        &self.who
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.slow.store(false, Ordering::Relaxed);
+        self.kill();
+    }
+}
+
+fn reads(
+    who: &str,
+    out: impl BufRead + Send + 'static,
+    recorder: &Recorder,
+    seen: &Arc<(Mutex<Seen>, Condvar)>,
+) -> thread::JoinHandle<()> {
+    let (who, recorder, seen) = (who.to_owned(), recorder.clone(), seen.clone());
+    thread::spawn(move || {
+        for text in out.lines().map_while(Result::ok) {
+            recorder.note(What::Line { who: who.clone(), text: text.clone() });
+            held(&seen).lines.push(text);
+            seen.1.notify_all();
+        }
+    })
+}
+
+/// Waits until this is so; tells whether it became so in time.
+pub fn until(within: Duration, so: impl Fn() -> bool) -> bool {
+    let end = Instant::now() + within;
+    while !so() {
+        if Instant::now() >= end {
+            return false;
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    true
+}
