Play schedules of faults on several real programs and judge what was seen

Need: tests that start several real programs and break things between them.

Faults of programs, links, stand-ins, clocks, disks and upgrades; proof-faults plays named and drawn schedules several at a time, replays a file, shrinks one. The stand-in of Consul shows translated addresses by door.

--- a/crates/rig/src/history.rs
+++ b/crates/rig/src/history.rs
@@ -92,6 +92,17 @@
         begins: bool,
         /// Programs whose clients may miss an answer meanwhile.
         hits: Vec<String>,
+        /// What programs send to loan servers may arrive late meanwhile.
+        late: bool,
+    },
+    /// A program was told of a loan server, by a link that was well.
+    Told {
+        /// The program.
+        who: String,
+        /// The loan server.
+        server: String,
+        /// It takes new work.
+        takes_work: bool,
     },
     /// A log line of a program.
     Line {
--- a/crates/rig/src/net.rs
+++ b/crates/rig/src/net.rs
@@ -1,6 +1,6 @@
 //! Links between parties. All that one sends to another passes here, and each ordered pair can be spoilt alone.
 
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::{BinaryHeap, HashMap, HashSet};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -137,6 +137,8 @@
     way: Mutex<BinaryHeap<OnTheWay>>,
     sent: Condvar,
     senders: Mutex<HashMap<SocketAddr, Party>>,
+    /// Where those came from whose connection nobody took behind the link.
+    refused: Mutex<HashSet<SocketAddr>>,
     counted: Counted,
     seed: AtomicU64,
     over: AtomicBool,
@@ -159,6 +161,7 @@
             way: Mutex::default(),
             sent: Condvar::new(),
             senders: Mutex::default(),
+            refused: Mutex::default(),
             counted: Counted::default(),
             seed: AtomicU64::new(seed),
             over: AtomicBool::new(false),
@@ -243,13 +246,21 @@
         if !self.passes(from, to) {
             return reset(&near);
         }
-        let Ok(far) = TcpStream::connect(behind) else { return reset(&near) };
+        let Ok(far) = TcpStream::connect(behind) else {
+            held(&self.0.refused).extend(near.peer_addr());
+            return reset(&near);
+        };
         let both = Arc::new(Ends { near, far, reset: AtomicBool::new(false) });
         let (back, ends) = (self.clone(), both.clone());
         thread::spawn(move || back.pump((to, from), &ends.far, &ends.near, &ends));
         self.pump((from, to), &both.near, &both.far, &both);
     }
 
+    /// Whether nobody took the connection that came from here: the system takes each for the link. Asked once.
+    pub fn was_refused(&self, from: SocketAddr) -> bool {
+        held(&self.0.refused).remove(&from)
+    }
+
     /// Waits until the link carries again. False where it is closed or the site has ended.
     fn passes(&self, from: Party, to: Party) -> bool {
         let mut state = held(&self.0.state);
@@ -308,9 +319,14 @@
             if !span.is_zero() {
                 thread::sleep(span);
             }
+            let waited = self.quality(from, to).cut;
             if !self.passes(from, to) {
                 return both.reset();
             }
+            // Whoever has let go meanwhile is not heard of any more.
+            if waited && n > 0 && source.peek(&mut [0]).is_ok_and(|n| n == 0) {
+                return both.reset();
+            }
             self.0.counted.bytes.fetch_add(n as u64, Ordering::Relaxed);
             if n == 0 {
                 let _ = sink.shutdown(Shutdown::Write);
--- /dev/null
+++ b/crates/rig/src/play.rs
@@ -0,0 +1,159 @@
+//! Plays a schedule on a site and judges what was seen.
+
+use crate::checks::{self, Violation};
+use crate::history::{End, Record, Recorder, What, now};
+use crate::process::until;
+use crate::schedule::Schedule;
+use crate::site::{Site, common_files};
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// All are given this to agree again; the bound is shorter.
+const WAITS: Duration = Duration::from_secs(25);
+/// Between two looks at what programs hold.
+const LOOK: Duration = Duration::from_millis(500);
+
+/// What came of a schedule.
+#[derive(Debug)]
+pub struct Played {
+    /// What was broken.
+    pub violations: Vec<Violation>,
+    /// Faults by kind, those that were played.
+    pub faults: BTreeMap<String, u64>,
+    /// Operations by their end.
+    pub ends: BTreeMap<End, u64>,
+    /// ms from the end of the last fault until all agreed.
+    pub agreed: Option<u64>,
+    /// Bytes that links carried, datagrams dropped, connections reset.
+    pub carried: (u64, u64, u64),
+    /// All that was seen.
+    pub history: Vec<Record>,
+}
+
+/// Starts a site in this folder, plays the schedule on it, ends it, and checks.
+///
+/// # Errors
+///
+/// The site could not be started, or a program did not come back.
+pub fn play(schedule: &Schedule, build: &Path, folder: &Path) -> Result<Played, String> {
+    common_files(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+    let site = Site::start(schedule, build, folder)?;
+    let over = Arc::new(AtomicBool::new(false));
+    let load = site.load(&over);
+    let (looks, looked) = (site.clone(), over.clone());
+    let looker = thread::spawn(move || {
+        while !looked.load(Ordering::Relaxed) {
+            looks.look();
+            thread::sleep(LOOK);
+        }
+    });
+    let begun = Instant::now();
+    let at = |ms: u64| {
+        let left = Duration::from_millis(ms).saturating_sub(begun.elapsed());
+        thread::sleep(left);
+    };
+    let last_end = AtomicU64::new(now());
+    let failed: Vec<String> = thread::scope(|scope| {
+        let (site, at, last_end) = (&site, &at, &last_end);
+        let plays: Vec<_> = schedule
+            .faults
+            .iter()
+            .enumerate()
+            .map(|(number, fault)| {
+                scope.spawn(move || {
+                    at(fault.at_ms);
+                    let done = site.play(number, &fault.kind, &|| at(fault.at_ms + fault.for_ms));
+                    last_end.fetch_max(now(), Ordering::Relaxed);
+                    done
+                })
+            })
+            .collect();
+        let joined = plays.into_iter().map(|p| p.join().unwrap_or_else(|_| Err("a fault panicked".into())));
+        joined.filter_map(Result::err).collect()
+    });
+    let apart = std::sync::Mutex::new(String::new());
+    let agree = || {
+        let lacks = site.apart();
+        let fine = lacks.is_empty();
+        *apart.lock().unwrap_or_else(std::sync::PoisonError::into_inner) = lacks;
+        fine
+    };
+    let agreed = until(WAITS, agree).then(|| (now() - last_end.load(Ordering::Relaxed)) / 1_000);
+    let apart = apart.into_inner().unwrap_or_default();
+    site.recorder.note(What::Agreed { after: agreed, apart });
+    at(schedule.length_ms);
+    over.store(true, Ordering::Relaxed);
+    load.into_iter().for_each(|client| drop(client.join()));
+    drop(looker.join());
+    site.end();
+    let carried = site.network.counts();
+    let history = settled(&site.recorder);
+    let mut violations = checks::check(&history, &Site::bounds());
+    violations.extend(failed.into_iter().map(|text| Violation { rule: "a program comes back", text }));
+    let mut faults = BTreeMap::new();
+    for record in &history {
+        if let What::Fault { kind, begins: true, .. } = &record.what {
+            *faults.entry(kind.clone()).or_default() += 1;
+        }
+    }
+    Ok(Played { violations, faults, ends: checks::operations(&history), agreed, carried, history })
+}
+
+/// The history, once the last ends of programs are in it.
+fn settled(recorder: &Recorder) -> Vec<Record> {
+    let open = || {
+        let count = |exited: bool| {
+            let fits = |r: &&Record| match r.what {
+                What::Exited { .. } => exited,
+                What::Started { .. } => !exited,
+                _ => false,
+            };
+            recorder.all().iter().filter(fits).count()
+        };
+        count(true) == count(false)
+    };
+    until(Duration::from_secs(2), open);
+    recorder.all()
+}
+
+/// Leaves faults out one at a time for as long as what is left still fails, and brings the smallest that does.
+///
+/// # Errors
+///
+/// As [`play`].
+pub fn shrunk(
+    schedule: &Schedule,
+    mut fails: impl FnMut(&Schedule) -> Result<bool, String>,
+) -> Result<Schedule, String> {
+    let mut smallest = schedule.clone();
+    let mut at = 0;
+    while at < smallest.faults.len() {
+        let less = smallest.without(at);
+        if fails(&less)? {
+            smallest = less;
+        } else {
+            at += 1;
+        }
+    }
+    Ok(smallest)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::schedule::Kind;
+
+    #[test]
+    fn a_failing_schedule_is_made_as_small_as_what_fails() {
+        let drawn = (0..).map(|seed| Schedule::drawn(seed, 10_000));
+        let is_kill = |s: &Schedule| s.faults.iter().any(|f| matches!(f.kind, Kind::Killed { .. }));
+        let schedule = drawn.into_iter().find(|s| s.faults.len() > 3 && is_kill(s)).expect("there is one");
+        let small = shrunk(&schedule, |s| Ok(is_kill(s))).expect("nothing fails in it");
+        assert_eq!(small.faults.len(), 1);
+        assert!(is_kill(&small));
+    }
+}
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -13,6 +13,8 @@
 
 /// Longer than any step of a program may take.
 pub const LONG: Duration = Duration::from_secs(20);
+/// A program ends within this after it was told to: the longest deadline, 0.7 s, and a slow machine.
+const ENDS_WITHIN: Duration = Duration::from_secs(8);
 /// A slowed program runs for this ...
 const RUNS: Duration = Duration::from_millis(5);
 /// ... and then stands still for this.
@@ -85,22 +87,25 @@
         Ok(Self { who: who.to_owned(), pid, seen, told, slow: Arc::default() })
     }
 
-    /// Waits for a line that holds this text; tells whether one came before the program's end and in time.
-    pub fn logged(&self, text: &str) -> bool {
-        let waits = |seen: &mut Seen| !seen.ended && !seen.lines.iter().any(|l| l.contains(text));
-        let done = self.seen.1.wait_timeout_while(held(&self.seen), LONG, waits);
-        done.map_or_else(|e| e.into_inner().0, |d| d.0).lines.iter().any(|l| l.contains(text))
+    /// Its log, which can be waited on while others act on the program.
+    pub fn listens(&self) -> Log {
+        Log(self.seen.clone())
     }
 
-    /// Whether it has ended.
-    pub fn has_ended(&self) -> bool {
-        held(&self.seen).ended
+    /// Waits for its end within `most`.
+    fn wait(&self, most: Duration) -> bool {
+        let done = self.seen.1.wait_timeout_while(held(&self.seen), most, |seen| !seen.ended);
+        done.map_or_else(|e| e.into_inner().0, |d| d.0).ended
     }
 
-    /// Waits for its end; false where it does not come in time.
-    pub fn wait(&self, within: Duration) -> bool {
-        let done = self.seen.1.wait_timeout_while(held(&self.seen), within, |seen| !seen.ended);
-        done.map_or_else(|e| e.into_inner().0, |d| d.0).ended
+    /// Waits for the end of a program that was told to end in order. One that does not is killed, and counts as one that
+    /// ended unasked.
+    pub fn has_ended_in_order(&self) {
+        if !self.wait(ENDS_WITHIN) {
+            self.told.store(false, Ordering::Relaxed);
+            self.signal(Signal::KILL);
+            self.wait(LONG);
+        }
     }
 
     fn signal(&self, signal: Signal) {
@@ -167,12 +172,30 @@
         Some((number("VmRSS:")?, files, number("Threads:")?))
     }
 
+    /// Its number in the system.
+    pub fn number(&self) -> i32 {
+        self.pid.as_raw_nonzero().get()
+    }
+
     /// Its name.
     pub fn who(&self) -> &str {
         &self.who
     }
 }
 
+/// What a program has logged.
+#[derive(Clone, Debug)]
+pub struct Log(Arc<(Mutex<Seen>, Condvar)>);
+
+impl Log {
+    /// Waits for a line that holds this text; tells whether one came before the program's end and in time.
+    pub fn logged(&self, text: &str) -> bool {
+        let waits = |seen: &mut Seen| !seen.ended && !seen.lines.iter().any(|l| l.contains(text));
+        let done = self.0.1.wait_timeout_while(held(&self.0), LONG, waits);
+        done.map_or_else(|e| e.into_inner().0, |d| d.0).lines.iter().any(|l| l.contains(text))
+    }
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         self.slow.store(false, Ordering::Relaxed);
--- /dev/null
+++ b/crates/rig/src/stand_ins.rs
@@ -0,0 +1,315 @@
+//! Stand-ins of what programs speak to, each of which can be told to fail. Consul's is a package of its own.
+
+use crate::history::{Recorder, What, now};
+use crate::net::{Network, Party};
+use crate::schedule::{Form, How};
+use crate::wire;
+use std::collections::HashMap;
+use std::io::{BufReader, Read, Write};
+use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// How long a slow one takes.
+const SLOW: Duration = Duration::from_millis(200);
+/// An empty line on a watch on which nothing changes.
+const EMPTY_LINE: Duration = Duration::from_secs(2);
+
+/// Whether and how a stand-in fails now.
+pub type Failing = Arc<Mutex<Option<How>>>;
+
+fn held<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
+/// Listens at a free port here and serves each connection in a thread; for as long as the process lives.
+///
+/// # Errors
+///
+/// There is no port.
+pub fn listen(
+    host: IpAddr,
+    serve: impl Fn(TcpStream) + Send + Sync + 'static,
+) -> std::io::Result<SocketAddr> {
+    let listener = TcpListener::bind((host, 0))?;
+    let address = listener.local_addr()?;
+    let serve = Arc::new(serve);
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let serve = serve.clone();
+            let _ = stream.set_nodelay(true);
+            thread::spawn(move || serve(stream));
+        }
+    });
+    Ok(address)
+}
+
+/// Takes what comes and says nothing until the other side lets go.
+fn keep_silent(stream: &mut TcpStream) {
+    while stream.read(&mut [0; 512]).is_ok_and(|n| n > 0) {}
+}
+
+/// The quota counter.
+#[derive(Clone, Debug, Default)]
+pub struct Counter {
+    totals: Arc<Mutex<HashMap<String, (f64, Instant)>>>,
+    /// How it fails.
+    pub failing: Failing,
+    calls: Arc<AtomicU64>,
+}
+
+impl Counter {
+    /// Listens.
+    ///
+    /// # Errors
+    ///
+    /// There is no port.
+    pub fn open(&self, host: IpAddr) -> std::io::Result<SocketAddr> {
+        let counter = self.clone();
+        listen(host, move |stream| counter.serve(stream))
+    }
+
+    /// Comes back knowing nothing.
+    pub fn empty(&self) {
+        held(&self.totals).clear();
+    }
+
+    /// Calls so far.
+    pub fn calls(&self) -> u64 {
+        self.calls.load(Ordering::Relaxed)
+    }
+
+    fn add(&self, name: &str, amount: f64, life: Duration) -> f64 {
+        let (mut totals, now) = (held(&self.totals), Instant::now());
+        let total = totals.entry(name.to_owned()).or_insert((0.0, now + life));
+        if total.1 <= now {
+            *total = (0.0, now + life);
+        }
+        total.0 += amount;
+        total.0
+    }
+
+    fn serve(&self, mut stream: TcpStream) {
+        let Ok(read) = stream.try_clone() else { return };
+        let mut calls = BufReader::new(read);
+        while let Some(call) = wire::command(&mut calls) {
+            let how = *held(&self.failing);
+            let answer = match &call.iter().map(String::as_str).collect::<Vec<_>>()[..] {
+                ["PING"] => "+PONG\r\n".to_owned(),
+                ["TALLY", name, amount, life] => {
+                    self.calls.fetch_add(1, Ordering::Relaxed);
+                    let (Ok(amount), Ok(life)) = (amount.parse::<f64>(), life.parse::<u64>()) else { return };
+                    match how {
+                        Some(How::Silent) => return keep_silent(&mut stream),
+                        Some(How::Closed) => return,
+                        Some(How::Error) => "-BUSY\r\n".to_owned(),
+                        _ => {
+                            let life = Duration::from_millis(life.clamp(1, 60_000));
+                            let total = self.add(name, amount, life).to_string();
+                            format!("${}\r\n{total}\r\n", total.len())
+                        }
+                    }
+                }
+                _ => "-ERR no such call\r\n".to_owned(),
+            };
+            match how {
+                Some(How::Lost) => return keep_silent(&mut stream),
+                Some(How::Cut) => return drop(stream.write_all(&answer.as_bytes()[..answer.len() / 2])),
+                Some(How::Slow) => thread::sleep(SLOW),
+                _ => {}
+            }
+            if stream.write_all(answer.as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// A loan server, which has an address of its own for each program.
+#[derive(Clone, Debug)]
+pub struct Loans {
+    /// Its name.
+    pub name: String,
+    /// How it fails.
+    pub failing: Failing,
+    form: Form,
+    recorder: Recorder,
+}
+
+impl Loans {
+    /// One that is well.
+    pub fn new(name: &str, form: Form, recorder: &Recorder) -> Self {
+        Self { name: name.to_owned(), failing: Failing::default(), form, recorder: recorder.clone() }
+    }
+
+    /// Listens for this program.
+    ///
+    /// # Errors
+    ///
+    /// There is no port.
+    pub fn open(&self, host: IpAddr, via: &str) -> std::io::Result<SocketAddr> {
+        let (loans, via) = (self.clone(), via.to_owned());
+        listen(host, move |stream| loans.serve(stream, &via))
+    }
+
+    fn serve(&self, mut stream: TcpStream, via: &str) {
+        let Ok(read) = stream.try_clone() else { return };
+        let mut requests = BufReader::new(read);
+        let mut random = fastrand::Rng::with_seed(now());
+        loop {
+            if *held(&self.failing) == Some(How::Closed) {
+                return;
+            }
+            // What it is asked, and the good answer and the bad one.
+            let asked = match self.form {
+                Form::Appliance => wire::message(&mut requests).map(|m| {
+                    let op = m.field("x-op").and_then(|op| op.parse::<u64>().ok());
+                    let body = op.map_or(String::new(), |op| op.to_string());
+                    (op, wire::http("HTTP/1.1 200 OK", &body), wire::http("HTTP/1.1 500 No", ""))
+                }),
+                Form::Platform => wire::command(&mut requests).and_then(|words| {
+                    let id = words.get(2)?;
+                    let op = u64::from_str_radix(id, 16).ok();
+                    Some((op, wire::value(id), b"-ERR failed\r\n".to_vec()))
+                }),
+            };
+            let Some((op, good, bad)) = asked else { return };
+            let how = *held(&self.failing);
+            if let Some(op) = op {
+                // Probes are no operations.
+                self.recorder.note(What::Arrived { op, server: self.name.clone(), via: via.to_owned() });
+            }
+            // Some milliseconds of work.
+            thread::sleep(Duration::from_micros(random.u64(3_000..9_000)));
+            let answer = match how {
+                Some(How::Silent | How::Lost) => return keep_silent(&mut stream),
+                Some(How::Error | How::Empty) => bad,
+                Some(How::Cut) => {
+                    let _ = stream.write_all(&good[..good.len() / 2]);
+                    return;
+                }
+                Some(How::Slow) => {
+                    thread::sleep(SLOW);
+                    good
+                }
+                Some(How::Closed) => return,
+                None => good,
+            };
+            if stream.write_all(&answer).is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// A target of duties: it takes every call, so that a round that runs twice is seen twice.
+///
+/// # Errors
+///
+/// There is no port.
+pub fn target(host: IpAddr, recorder: &Recorder) -> std::io::Result<SocketAddr> {
+    let recorder = recorder.clone();
+    listen(host, move |mut stream| {
+        let Ok(read) = stream.try_clone() else { return };
+        let mut calls = BufReader::new(read);
+        while let Some(call) = wire::message(&mut calls) {
+            let field = |name: &str| call.field(name).unwrap_or_default().to_owned();
+            let Ok(round) = field("snowfield-round").parse() else { return };
+            recorder.note(What::Ran { duty: field("snowfield-duty"), round, by: field("snowfield-by") });
+            if stream.write_all(&wire::http("HTTP/1.1 200 OK", "")).is_err() {
+                return;
+            }
+        }
+    })
+}
+
+#[derive(Debug, Default)]
+struct Listed {
+    rev: u64,
+    /// By name whether it drains, and when it started (Unix ms; 0 for long ago).
+    servers: Vec<(String, bool, u64)>,
+}
+
+/// Discovery: an agent for each program, all with the same list.
+#[derive(Clone, Debug, Default)]
+pub struct Discovery {
+    listed: Arc<(Mutex<Listed>, Condvar)>,
+}
+
+impl Discovery {
+    /// One that knows these.
+    pub fn new(names: &[String]) -> Self {
+        let discovery = Self::default();
+        *held(&discovery.listed.0) =
+            Listed { rev: 41, servers: names.iter().map(|n| (n.clone(), false, 0)).collect() };
+        discovery
+    }
+
+    /// Marks a loan server as draining, or as well.
+    pub fn drain(&self, name: &str, drains: bool) {
+        let mut listed = held(&self.listed.0);
+        listed.rev += 1;
+        listed.servers.iter_mut().filter(|s| s.0 == name).for_each(|s| s.1 = drains);
+        self.listed.1.notify_all();
+    }
+
+    /// The list as a program is told, with loan servers at these addresses, and its version.
+    pub fn list(&self, at: &HashMap<String, SocketAddr>) -> (u64, String) {
+        let listed = held(&self.listed.0);
+        let hosts: Vec<String> = listed
+            .servers
+            .iter()
+            .filter_map(|(name, drains, boot)| {
+                let (state, at) = (if *drains { "draining" } else { "up" }, at.get(name)?);
+                Some(format!(
+                    r#"{{"uid":"{name}","endpoint":"{at}","az":"z","model":"m","pod_group":0,"state":"{state}","capacity_hint":1.0,"boot_ms":{boot}}}"#
+                ))
+            })
+            .collect();
+        (listed.rev, format!(r#"{{"rev":{},"all":true,"targets":[{}]}}"#, listed.rev, hosts.join(",")))
+    }
+
+    /// Opens the agent of a program, which is told over the link from `me` to `to`.
+    ///
+    /// # Errors
+    ///
+    /// There is no port.
+    pub fn open(
+        &self,
+        host: IpAddr,
+        who: &str,
+        at: HashMap<String, SocketAddr>,
+        (network, me, to): (Network, Party, Party),
+        recorder: &Recorder,
+    ) -> std::io::Result<SocketAddr> {
+        let (discovery, who, recorder) = (self.clone(), who.to_owned(), recorder.clone());
+        listen(host, move |mut stream| {
+            let Ok(read) = stream.try_clone() else { return };
+            if wire::message(&mut BufReader::new(read)).is_none() {
+                return;
+            }
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            let mut told = 0;
+            loop {
+                let (rev, list) = discovery.list(&at);
+                let line = if rev == told { String::new() } else { list };
+                // Only what surely arrives now counts as told.
+                if rev != told && network.quality(me, to) == Default::default() {
+                    for (server, drains, _) in &held(&discovery.listed.0).servers {
+                        let (who, server) = (who.clone(), server.clone());
+                        recorder.note(What::Told { who, server, takes_work: !drains });
+                    }
+                }
+                if stream.write_all(format!("{:x}\r\n{line}\n\r\n", line.len() + 1).as_bytes()).is_err() {
+                    let _ = stream.shutdown(Shutdown::Both);
+                    return;
+                }
+                told = rev;
+                let waits = |listed: &mut Listed| listed.rev == told;
+                drop(discovery.listed.1.wait_timeout_while(held(&discovery.listed.0), EMPTY_LINE, waits));
+            }
+        })
+    }
+}
--- a/crates/stand_in_consul/src/lib.rs
+++ b/crates/stand_in_consul/src/lib.rs
@@ -159,6 +159,8 @@
     /// The address.
     pub address: SocketAddr,
     fault: Arc<Mutex<(Fault, Option<u32>)>>,
+    /// By address of an instance how it is shown here.
+    translated: Arc<Mutex<BTreeMap<SocketAddr, SocketAddr>>>,
     shared: Shared,
 }
 
@@ -185,7 +187,8 @@
     pub fn open(&self) -> Door {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
-        let door = Door { address, fault: Arc::default(), shared: self.shared.clone() };
+        let (fault, translated) = Default::default();
+        let door = Door { address, fault, translated, shared: self.shared.clone() };
         serve::run(listener, door.clone());
         door
     }
@@ -245,6 +248,15 @@
         *locked(&self.fault) = (fault, Some(times));
     }
 
+    /// Shows this address of an instance as that one from now on, as agents do across translated networks.
+    pub fn translate(&self, address: SocketAddr, shown: SocketAddr) {
+        locked(&self.translated).insert(address, shown);
+    }
+
+    fn shown(&self, address: SocketAddr) -> SocketAddr {
+        locked(&self.translated).get(&address).copied().unwrap_or(address)
+    }
+
     fn fault(&self, writes: bool) -> Fault {
         let mut fault = locked(&self.fault);
         match &mut *fault {
--- a/crates/stand_in_consul/src/serve.rs
+++ b/crates/stand_in_consul/src/serve.rs
@@ -416,7 +416,8 @@
         .iter()
         .filter(|i| (i.passes() || !passing) && tag.is_none_or(|t| i.tags.contains(t)))
         .map(|i| {
-            let (ip, port) = (i.address.ip().to_string(), i.address.port());
+            let shown = door.shown(i.address);
+            let (ip, port) = (shown.ip().to_string(), shown.port());
             if !health {
                 return json!({"Node": "a", "Address": ip, "ServiceID": i.id, "ServiceAddress": "", "ServicePort": port});
             }
