Give no more room after a counter forgot than was known, and read a debt as it stands

Cause: hear() in src/store.rs. A debt cut at a quarter of a burst still holds what this gateway itself had reserved; its upper bound took base.max(0) and so gave those units a second time. And where a counter forgot, the level followed the own part alone, above what was known just before.

Change: the own bound counts from the base as it was read, and binds the level after a loss too. The history notes what is apart after the last fault.

--- a/crates/rig/src/history.rs
+++ b/crates/rig/src/history.rs
@@ -122,6 +122,11 @@
         /// Threads.
         threads: u64,
     },
+    /// What is apart has changed since the last look after the last fault.
+    Apart {
+        /// In words.
+        text: String,
+    },
     /// All agree again, so long after the last fault ended; none where they did not in the time given.
     Agreed {
         /// ms
--- a/crates/rig/src/play.rs
+++ b/crates/rig/src/play.rs
@@ -5,6 +5,7 @@
 use crate::process::until;
 use crate::schedule::Schedule;
 use crate::site::{Site, common_files};
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::path::Path;
 use std::sync::Arc;
@@ -75,16 +76,17 @@
         let joined = plays.into_iter().map(|p| p.join().unwrap_or_else(|_| Err("a fault panicked".into())));
         joined.filter_map(Result::err).collect()
     });
-    let apart = std::sync::Mutex::new(String::new());
+    let apart = RefCell::new(String::new());
     let agree = || {
-        let lacks = site.apart();
-        let fine = lacks.is_empty();
-        *apart.lock().unwrap_or_else(std::sync::PoisonError::into_inner) = lacks;
+        let text = site.apart();
+        let fine = text.is_empty();
+        if apart.replace(text.clone()) != text && !fine {
+            site.recorder.note(What::Apart { text });
+        }
         fine
     };
     let agreed = until(WAITS, agree).then(|| (now() - last_end.load(Ordering::Relaxed)) / 1_000);
-    let apart = apart.into_inner().unwrap_or_default();
-    site.recorder.note(What::Agreed { after: agreed, apart });
+    site.recorder.note(What::Agreed { after: agreed, apart: apart.into_inner() });
     at(schedule.length_ms);
     over.store(true, Ordering::Relaxed);
     load.into_iter().for_each(|client| drop(client.join()));
--- a/src/store.rs
+++ b/src/store.rs
@@ -71,9 +71,8 @@
         let before = self.known.filter(|k| k.0 == name).map(|k| k.1);
         let others = total - added - before.unwrap_or(0.0);
         let told = added - self.wrote;
-        // What it holds at the most by own knowledge. Totals that are read while others put them right may show a debt,
-        // but no store was ever below nothing.
-        let own = self.base.max(0.0) + plan.rate * unseen - self.spent;
+        // What it holds at the most by own knowledge: with the debt that it was read with, in which own reserves were told.
+        let own = self.base + plan.rate * unseen - self.spent;
         // Just before the call it held a burst at most; under a new name, what it held under the last one at most.
         let exact = before.is_some() && self.view != View::Fresh;
         let most = if exact { plan.burst } else { (own + told + self.pending).min(plan.burst) };
@@ -93,8 +92,8 @@
             Some(_) => View::Exact,
         };
         self.level = if lost {
-            // All parts are thought as full as this one's.
-            (self.own * self.set).min(plan.burst) - self.pending
+            // All parts are thought as full as this one's, as far as there can be so much.
+            (self.own * self.set).min(own).min(plan.burst) - self.pending
         } else if self.view == View::Adrift {
             (own - others).min(left)
         } else {
