End a site's listeners with it, and judge a disagreement at the start like any other

Seen: with ten sites at a time the rig ran out of descriptors, and a program's figures were read from a process that had taken its number.

Cause: listeners of links and stand-ins lived as long as the process; Process::holds read /proc of an ended program.

Change: all listeners belong to the network and end with it; the proof takes the descriptors that the system allows; a site that does not agree at the start leaves its history.

--- a/crates/proofs/src/bin/proof-faults.rs
+++ b/crates/proofs/src/bin/proof-faults.rs
@@ -177,6 +177,10 @@
             all.into_iter().chain(drawn).collect()
         }
     };
+    // A site of twelve programs takes some thousand descriptors.
+    let most = rustix::process::getrlimit(rustix::process::Resource::Nofile);
+    let all = rustix::process::Rlimit { current: most.maximum, maximum: most.maximum };
+    let _ = rustix::process::setrlimit(rustix::process::Resource::Nofile, all);
     let (next, sums) = (AtomicUsize::new(0), Mutex::new(Sums::default()));
     std::thread::scope(|scope| {
         for _ in 0..asked.parallel.min(schedules.len()) {
--- a/crates/rig/src/net.rs
+++ b/crates/rig/src/net.rs
@@ -139,6 +139,8 @@
     senders: Mutex<HashMap<SocketAddr, Party>>,
     /// Where those came from whose connection nobody took behind the link.
     refused: Mutex<HashSet<SocketAddr>>,
+    /// Where somebody listens, to be woken at the end.
+    listening: Mutex<Vec<SocketAddr>>,
     counted: Counted,
     seed: AtomicU64,
     over: AtomicBool,
@@ -162,6 +164,7 @@
             sent: Condvar::new(),
             senders: Mutex::default(),
             refused: Mutex::default(),
+            listening: Mutex::default(),
             counted: Counted::default(),
             seed: AtomicU64::new(seed),
             over: AtomicBool::new(false),
@@ -206,6 +209,7 @@
     /// Ends all links for good.
     pub fn end(&self) {
         self.0.over.store(true, Ordering::Relaxed);
+        held(&self.0.listening).drain(..).for_each(|at| drop(TcpStream::connect(at)));
         self.0.changed.notify_all();
         self.0.sent.notify_all();
     }
@@ -225,17 +229,32 @@
         to: Party,
         at: SocketAddr,
         behind: SocketAddr,
+    ) -> std::io::Result<SocketAddr> {
+        let network = self.clone();
+        self.listen(at, move |near| network.connect((from, to), near, behind))
+    }
+
+    /// Listens here and serves each connection in a thread, until the network ends.
+    ///
+    /// # Errors
+    ///
+    /// `at` cannot be listened on.
+    pub fn listen(
+        &self,
+        at: SocketAddr,
+        serve: impl Fn(TcpStream) + Send + Sync + 'static,
     ) -> std::io::Result<SocketAddr> {
         let listener = TcpListener::bind(at)?;
         let at = listener.local_addr()?;
-        let network = self.clone();
+        held(&self.0.listening).push(at);
+        let (network, serve) = (self.clone(), Arc::new(serve));
         thread::spawn(move || {
-            for near in listener.incoming().map_while(Result::ok) {
+            for stream in listener.incoming().map_while(Result::ok) {
                 if network.over() {
                     return;
                 }
-                let network = network.clone();
-                thread::spawn(move || network.connect((from, to), near, behind));
+                let serve = serve.clone();
+                thread::spawn(move || serve(stream));
             }
         });
         Ok(at)
--- a/crates/rig/src/play.rs
+++ b/crates/rig/src/play.rs
@@ -15,6 +15,8 @@
 
 /// All are given this to agree again; the bound is shorter.
 const WAITS: Duration = Duration::from_secs(25);
+/// All agree by then at the start.
+const STARTS: Duration = Duration::from_secs(10);
 /// Between two looks at what programs hold.
 const LOOK: Duration = Duration::from_millis(500);
 
@@ -43,6 +45,11 @@
 pub fn play(schedule: &Schedule, build: &Path, folder: &Path) -> Result<Played, String> {
     common_files(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
     let site = Site::start(schedule, build, folder)?;
+    if !until(STARTS, || site.apart().is_empty()) {
+        let apart = format!("at the start, before any fault: {}", site.apart());
+        site.recorder.note(What::Agreed { after: None, apart });
+        return Ok(judged(&site, Vec::new(), None));
+    }
     let over = Arc::new(AtomicBool::new(false));
     let load = site.load(&over);
     let (looks, looked) = (site.clone(), over.clone());
@@ -91,6 +98,11 @@
     over.store(true, Ordering::Relaxed);
     load.into_iter().for_each(|client| drop(client.join()));
     drop(looker.join());
+    Ok(judged(&site, failed, agreed))
+}
+
+/// Ends the site and checks what was seen.
+fn judged(site: &Site, failed: Vec<String>, agreed: Option<u64>) -> Played {
     site.end();
     let carried = site.network.counts();
     let history = settled(&site.recorder);
@@ -102,7 +114,7 @@
             *faults.entry(kind.clone()).or_default() += 1;
         }
     }
-    Ok(Played { violations, faults, ends: checks::operations(&history), agreed, carried, history })
+    Played { violations, faults, ends: checks::operations(&history), agreed, carried, history }
 }
 
 /// The history, once the last ends of programs are in it.
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -163,6 +163,8 @@
 
     /// Memory in kB, descriptors and threads that it has now.
     pub fn holds(&self) -> Option<(u64, u64, u64)> {
+        // Its number may be another's once it has ended.
+        let _seen = Some(held(&self.seen)).filter(|seen| !seen.ended)?;
         let folder = PathBuf::from(format!("/proc/{}", self.pid.as_raw_nonzero()));
         let status = std::fs::read_to_string(folder.join("status")).ok()?;
         let number = |name: &str| -> Option<u64> {
--- a/crates/rig/src/site.rs
+++ b/crates/rig/src/site.rs
@@ -20,8 +20,6 @@
 
 const KEY: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
 const SERVICE: &str = "loan-server";
-/// All agree by then at the start.
-const STARTS: Duration = Duration::from_secs(10);
 /// The node that the stand-in of Consul names for all.
 const NODE: &str = "a";
 const ZONES: [&str; 3] = ["a", "b", "c"];
@@ -115,9 +113,6 @@
                 return Err(format!("{} does not serve", member.name));
             }
         }
-        if !until(STARTS, || site.apart().is_empty()) {
-            return Err(format!("they do not agree at the start: {}", site.apart()));
-        }
         Ok(site)
     }
 
@@ -135,7 +130,7 @@
         let all = programs.iter().chain(&servers).chain(&fixed);
         let parties: HashMap<String, Party> = all.cloned().enumerate().map(|(i, n)| (n, i)).collect();
         let counter = Counter::default();
-        let target_at = target(stand, &recorder)?;
+        let target_at = target(&network, stand, &recorder)?;
         let consul = Consul::start();
         let loans: Vec<Loans> = servers.iter().map(|n| Loans::new(n, schedule.form, &recorder)).collect();
         // Consul's own record; each program sees an address of its own.
@@ -160,12 +155,14 @@
             let door = consul.open();
             let mut at = HashMap::new();
             for (k, server) in loans.iter().enumerate() {
-                let seen = link(&server.name, server.open(stand, name)?)?;
+                let seen = link(&server.name, server.open(&network, stand, name)?)?;
                 door.translate(recorded(k), seen);
                 at.insert(server.name.clone(), seen);
             }
-            let (consul_link, counter_link) =
-                (link("consul", door.address)?, link("counter", counter.open(stand, name, &recorder)?)?);
+            let (consul_link, counter_link) = (
+                link("consul", door.address)?,
+                link("counter", counter.open(&network, stand, name, &recorder)?)?,
+            );
             let (target_link, known) = (link("target", target_at)?, discovery.list(&at).1);
             let told = (network.clone(), parties["discovery"], i);
             let agent = link("discovery", discovery.open(stand, name, at, told, &recorder)?)?;
@@ -723,6 +720,7 @@
         all.iter().for_each(|&i| drop(held(&self.members[i].running).process.take()));
         self.network.end();
         self.consul.stop();
+        self.doors.iter().for_each(|door| drop(TcpStream::connect(door.address)));
         let _ = std::fs::remove_dir_all(&self.folder);
     }
 
--- a/crates/rig/src/stand_ins.rs
+++ b/crates/rig/src/stand_ins.rs
@@ -6,7 +6,7 @@
 use crate::wire;
 use std::collections::HashMap;
 use std::io::{BufReader, Read, Write};
-use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
@@ -24,26 +24,20 @@
     mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
 }
 
-/// Listens at a free port here and serves each connection in a thread; for as long as the process lives.
+/// Listens at a free port here and serves each connection in a thread, until the network ends.
 ///
 /// # Errors
 ///
 /// There is no port.
 pub fn listen(
+    network: &Network,
     host: IpAddr,
     serve: impl Fn(TcpStream) + Send + Sync + 'static,
 ) -> std::io::Result<SocketAddr> {
-    let listener = TcpListener::bind((host, 0))?;
-    let address = listener.local_addr()?;
-    let serve = Arc::new(serve);
-    thread::spawn(move || {
-        for stream in listener.incoming().map_while(Result::ok) {
-            let serve = serve.clone();
-            let _ = stream.set_nodelay(true);
-            thread::spawn(move || serve(stream));
-        }
-    });
-    Ok(address)
+    network.listen((host, 0).into(), move |stream| {
+        let _ = stream.set_nodelay(true);
+        serve(stream);
+    })
 }
 
 /// Takes what comes and says nothing until the other side lets go.
@@ -66,9 +60,15 @@
     /// # Errors
     ///
     /// There is no port.
-    pub fn open(&self, host: IpAddr, via: &str, recorder: &Recorder) -> std::io::Result<SocketAddr> {
+    pub fn open(
+        &self,
+        network: &Network,
+        host: IpAddr,
+        via: &str,
+        recorder: &Recorder,
+    ) -> std::io::Result<SocketAddr> {
         let (counter, via, recorder) = (self.clone(), via.to_owned(), recorder.clone());
-        listen(host, move |stream| counter.serve(stream, &via, &recorder))
+        listen(network, host, move |stream| counter.serve(stream, &via, &recorder))
     }
 
     /// Comes back knowing nothing.
@@ -152,9 +152,9 @@
     /// # Errors
     ///
     /// There is no port.
-    pub fn open(&self, host: IpAddr, via: &str) -> std::io::Result<SocketAddr> {
+    pub fn open(&self, network: &Network, host: IpAddr, via: &str) -> std::io::Result<SocketAddr> {
         let (loans, via) = (self.clone(), via.to_owned());
-        listen(host, move |stream| loans.serve(stream, &via))
+        listen(network, host, move |stream| loans.serve(stream, &via))
     }
 
     fn serve(&self, mut stream: TcpStream, via: &str) {
@@ -212,9 +212,9 @@
 /// # Errors
 ///
 /// There is no port.
-pub fn target(host: IpAddr, recorder: &Recorder) -> std::io::Result<SocketAddr> {
+pub fn target(network: &Network, host: IpAddr, recorder: &Recorder) -> std::io::Result<SocketAddr> {
     let recorder = recorder.clone();
-    listen(host, move |mut stream| {
+    listen(network, host, move |mut stream| {
         let Ok(read) = stream.try_clone() else { return };
         let mut calls = BufReader::new(read);
         while let Some(call) = wire::message(&mut calls) {
@@ -288,7 +288,8 @@
         recorder: &Recorder,
     ) -> std::io::Result<SocketAddr> {
         let (discovery, who, recorder) = (self.clone(), who.to_owned(), recorder.clone());
-        listen(host, move |mut stream| {
+        let listens = network.clone();
+        listen(&listens, host, move |mut stream| {
             let Ok(read) = stream.try_clone() else { return };
             if wire::message(&mut BufReader::new(read)).is_none() {
                 return;
