--- a/crates/rig/src/play.rs
+++ b/crates/rig/src/play.rs
@@ -17,6 +17,9 @@
 const WAITS: Duration = Duration::from_secs(25);
 /// All agree by then at the start.
 const STARTS: Duration = Duration::from_secs(10);
+/// Between two looks at whether all agree. Each asks every program with a request that counts: twelve programs that were asked
+/// fifty times a second spent the whole quota of the lender that is to show whether there is room.
+const ASKS: Duration = Duration::from_millis(200);
 /// Between two looks at what programs hold.
 const LOOK: Duration = Duration::from_millis(500);
 
@@ -45,7 +48,7 @@
 pub fn play(schedule: &Schedule, build: &Path, folder: &Path) -> Result<Played, String> {
     common_files(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
     let site = Site::start(schedule, build, folder)?;
-    if !until(STARTS, || site.apart().is_empty()) {
+    if !until(STARTS, ASKS, || site.apart().is_empty()) {
         let apart = format!("at the start, before any fault: {}", site.apart());
         site.recorder.note(What::Agreed { after: None, apart });
         return Ok(judged(&site, Vec::new(), None));
@@ -92,7 +95,7 @@
         }
         fine
     };
-    let agreed = until(WAITS, agree).then(|| (now() - last_end.load(Ordering::Relaxed)) / 1_000);
+    let agreed = until(WAITS, ASKS, agree).then(|| (now() - last_end.load(Ordering::Relaxed)) / 1_000);
     site.recorder.note(What::Agreed { after: agreed, apart: apart.into_inner() });
     at(schedule.length_ms);
     over.store(true, Ordering::Relaxed);
@@ -130,7 +133,7 @@
         };
         count(true) == count(false)
     };
-    until(Duration::from_secs(2), open);
+    until(Duration::from_secs(2), Duration::from_millis(20), open);
     recorder.all()
 }
 
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -221,14 +221,14 @@
     })
 }
 
-/// Waits until this is so; tells whether it became so in time.
-pub fn until(within: Duration, so: impl Fn() -> bool) -> bool {
+/// Waits until this is so, with a look so often; tells whether it became so in time.
+pub fn until(within: Duration, often: Duration, so: impl Fn() -> bool) -> bool {
     let end = Instant::now() + within;
     while !so() {
         if Instant::now() >= end {
             return false;
         }
-        thread::sleep(Duration::from_millis(20));
+        thread::sleep(often);
     }
     true
 }
--- a/crates/rig/src/site.rs
+++ b/crates/rig/src/site.rs
@@ -20,6 +20,8 @@
 
 const KEY: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
 const SERVICE: &str = "loan-server";
+/// Between two looks at whether a program is ready.
+const LOOK: Duration = Duration::from_millis(20);
 /// The node that the stand-in of Consul names for all.
 const NODE: &str = "a";
 const ZONES: [&str; 3] = ["a", "b", "c"];
@@ -698,7 +700,7 @@
         if let Some(us) = old_dies {
             after(us);
             self.each(mine, Process::kill);
-        } else if !mine.iter().all(|&i| until(LONG, || self.ready(i))) {
+        } else if !mine.iter().all(|&i| until(LONG, LOOK, || self.ready(i))) {
             return Err("the new program of an upgrade is not ready".into());
         }
         end();
@@ -708,7 +710,7 @@
             let mut running = held(&self.members[i].running);
             running.process = running.next.take();
         }
-        let serve = mine.iter().all(|&i| self.serves(i) && until(LONG, || self.ready(i)));
+        let serve = mine.iter().all(|&i| self.serves(i) && until(LONG, LOOK, || self.ready(i)));
         serve.then_some(()).ok_or_else(|| "the new program of an upgrade does not serve".into())
     }
 
