Learn no rate of others' spend from a debt deeper than a store can owe

Seen: on the rig, one of twelve programs that started together refused a lender with room for 10 s and made no call meanwhile. Checked: its calls and totals in order. It read a total that held the write-offs of eight others.

Lines at fault: hear() in src/store.rs takes the difference for units that the others have spent in 20 ms, a rate above the quota, by which the level never rises; it is not asked for again until the doubt has grown to the debt.

Change: what is read deeper than a quarter burst below nothing teaches no rate.

--- a/src/store.rs
+++ b/src/store.rs
@@ -81,8 +81,10 @@
         let showed = plan.burst + filled - (total - told - wrote);
         self.wrote = (showed - most).max(0.0) - wrote;
         let least = -DEBT_PART * plan.burst;
-        let left = (plan.burst + filled - total - self.wrote).max(least) - self.pending;
-        if before.is_some() {
+        let shown = plan.burst + filled - total - self.wrote;
+        let left = shown.max(least) - self.pending;
+        // A deeper debt is what others are putting right yet: it says nothing of their spend.
+        if before.is_some() && shown >= least {
             self.learn_split((own.min(plan.burst) - left).max(0.0), others.max(0.0), unseen);
         }
         let lost = self.known.is_some() && (lost.0 || others < lost.1 && total < -others);
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -200,13 +200,15 @@
 #[test]
 fn gateways_that_start_at_once_do_not_starve_a_lender() {
     for seed in 0..6 {
-        for (rate, burst) in [(20.0, 40.0), (400.0, 800.0)] {
+        for (gateways, rate, burst) in [(6, 20.0, 40.0), (6, 400.0, 800.0), (10, 400.0, 800.0)] {
             let plan = Plan { rate, burst, ..PLAN };
             let start = 1_000 * SECOND + seed * 5 * SECOND;
-            let truth = play((6, start, 30 * MS), plan, seed, rate / 2.0, 100 * SECOND, 25 * SECOND);
+            let truth = play((gateways, start, 30 * MS), plan, seed, rate / 2.0, 100 * SECOND, 25 * SECOND);
             let refused = truth.refused_at_half as f64 / truth.tries as f64;
-            // 0.145 at the worst with debts as deep as they are read, 0.009 with this.
-            assert!(refused < 0.02, "seed {seed}, {rate} units a second: {refused:.3} refused");
+            // Of six 0.145 at the worst with debts as deep as they are read, 0.009 with those of a quarter burst; of ten 0.069, and
+            // 0.056 where what is read of a deeper one teaches no rate of spend.
+            let most = if gateways > 6 { 0.06 } else { 0.02 };
+            assert!(refused < most, "seed {seed}, {gateways} gateways, {rate} units a second: {refused:.3}");
         }
     }
 }
