Do not take what others take back for a counter that has forgotten

Seen: on the rig, one of eleven programs that started together refused a lender with room until the next epoch. Checked: its calls and totals. The total fell by 1,971 while it waited, since others took back what all had written off at once; what was left was a full store.

Lines at fault: hear() in src/store.rs: a total that falls by more than a burst is taken for one that was forgotten, and from then on only its changes count.

Change: only where the count also lacks what was written off: a store that shows a quarter burst above full.

--- a/src/store.rs
+++ b/src/store.rs
@@ -87,7 +87,10 @@
         if before.is_some() && shown >= least {
             self.learn_split((own.min(plan.burst) - left).max(0.0), others.max(0.0), unseen);
         }
-        let lost = self.known.is_some() && (lost.0 || others < lost.1 && total < -others);
+        // One that forgot has not heard what was written off either. Others who take back what they all wrote off at once leave
+        // a store that is full, not one above that.
+        let forgot = others < lost.1 && total < -others && filled - total > OWED_PART * plan.burst;
+        let lost = self.known.is_some() && (lost.0 || forgot);
         self.view = match before {
             _ if lost => View::Adrift,
             None => View::Fresh,
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -205,10 +205,10 @@
             let start = 1_000 * SECOND + seed * 5 * SECOND;
             let truth = play((gateways, start, 30 * MS), plan, seed, rate / 2.0, 100 * SECOND, 25 * SECOND);
             let refused = truth.refused_at_half as f64 / truth.tries as f64;
-            // Of six 0.145 at the worst with debts as deep as they are read, 0.009 with those of a quarter burst; of ten 0.069, and
-            // 0.056 where what is read of a deeper one teaches no rate of spend.
-            let most = if gateways > 6 { 0.06 } else { 0.02 };
-            assert!(refused < most, "seed {seed}, {gateways} gateways, {rate} units a second: {refused:.3}");
+            // Worst of six and of ten gateways: 0.145 and more with debts as deep as they are read, 0.009 and 0.069 with those of a
+            // quarter burst, 0.009 and 0.056 where a deeper one teaches no rate of spend, and 0.009 and 0.013 where others that
+            // take back what all wrote off are not taken for a counter that has forgotten.
+            assert!(refused < 0.02, "seed {seed}, {gateways} gateways, {rate} units a second: {refused:.3}");
         }
     }
 }
