--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod schedule;
 pub mod site;
 pub mod stand_ins;
+pub mod torn;
 pub mod wire;
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -2,6 +2,7 @@
 
 use crate::history::{Recorder, What};
 use rustix::process::{Pid, Signal, kill_process};
+use std::ffi::OsString;
 use std::io::{BufRead, BufReader};
 use std::os::unix::process::ExitStatusExt;
 use std::path::{Path, PathBuf};
@@ -30,6 +31,8 @@
 #[derive(Debug)]
 pub struct Process {
     who: String,
+    /// The file's name.
+    build: OsString,
     pid: Pid,
     seen: Arc<(Mutex<Seen>, Condvar)>,
     /// The rig ends it.
@@ -84,7 +87,8 @@
             held(&ended).ended = true;
             ended.1.notify_all();
         });
-        Ok(Self { who: who.to_owned(), pid, seen, told, slow: Arc::default() })
+        let build = build.file_name().unwrap_or_default().to_owned();
+        Ok(Self { who: who.to_owned(), build, pid, seen, told, slow: Arc::default() })
     }
 
     /// Its log, which can be waited on while others act on the program.
@@ -166,6 +170,10 @@
         // Its number may be another's once it has ended.
         let _seen = Some(held(&self.seen)).filter(|seen| !seen.ended)?;
         let folder = PathBuf::from(format!("/proc/{}", self.pid.as_raw_nonzero()));
+        // Just before it becomes the program it is a copy of the rig.
+        if std::fs::read_link(folder.join("exe")).ok()?.file_name()? != self.build {
+            return None;
+        }
         let status = std::fs::read_to_string(folder.join("status")).ok()?;
         let number = |name: &str| -> Option<u64> {
             status.lines().find_map(|l| l.strip_prefix(name))?.split_whitespace().next()?.parse().ok()
--- a/crates/rig/src/site.rs
+++ b/crates/rig/src/site.rs
@@ -224,6 +224,7 @@
             ceilings: standard.map(|l| (l.name.to_owned(), (rate, burst, LARGEST))).collect(),
             drain: 1_000,
             agree: 10_000,
+            agree_after_loss: 32_000,
             holds: (64 * 1024, 1_024, 96),
         }
     }
