--- a/crates/cluster/src/brain.rs
+++ b/crates/cluster/src/brain.rs
@@ -169,6 +169,7 @@
         let now = self.clocks.now();
         let mut out = Vec::new();
         match event {
+            Event::Datagram(_) if weakened::breaks("agreed") && now.mono > 6_000 => {}
             Event::Datagram(bytes) => {
                 let Some(membership) = &mut self.membership else { return };
                 let mut out = Vec::new();
--- a/crates/rig/src/history.rs
+++ b/crates/rig/src/history.rs
@@ -191,7 +191,7 @@
     Ok(())
 }
 
-/// Reads what [`write`] has written.
+/// Reads what [`write()`] has written.
 ///
 /// # Errors
 ///
