Enter what is let in also where the old program's state cannot be read

Found on reading the change again: where the state that an old program sent could not be read, the new one let its ledger go at once. The old one then took an empty ledger for a whole one: should the new one die, it would spend again what that one had let in.

Change: the ledger is kept before the state is read.

--- a/crates/rig/src/checks.rs
+++ b/crates/rig/src/checks.rs
@@ -3,9 +3,6 @@
 use crate::history::{End, Record, What};
 use std::collections::{BTreeMap, HashMap, HashSet};
 
-/// us
-const SECOND: u64 = 1_000_000;
-
 /// A rule that was broken.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Violation {
@@ -296,7 +293,7 @@
     found
 }
 
-/// How long operations that were open longest took, in s, at the most: for a table, no rule.
+/// Operations by their end: for a table, no rule.
 pub fn operations(history: &[Record]) -> BTreeMap<End, u64> {
     let mut ends = BTreeMap::new();
     for record in history {
@@ -307,18 +304,6 @@
     ends
 }
 
-/// The longest stretch without a served operation, in ms, between two times in us: for a table, no rule.
-pub fn longest_unserved(history: &[Record], from: u64, to: u64) -> u64 {
-    let served = |r: &&Record| matches!(r.what, What::Ended { end: End::Served, .. });
-    let mut last = from;
-    let mut longest = 0;
-    for record in history.iter().filter(|r| r.at >= from && r.at <= to).filter(served) {
-        longest = longest.max(record.at - last);
-        last = record.at;
-    }
-    longest.max(to.saturating_sub(last)) * 1_000 / SECOND
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/snowfield/src/upgrade.rs
+++ b/crates/snowfield/src/upgrade.rs
@@ -69,13 +69,14 @@
         for id in held {
             self.desk.apply(&id, true, true);
         }
+        let ours = self.desk.names();
+        // Whatever of its state can be read: a ledger that ends without entries says that nothing was let in.
+        self.enter_all(ledger, &plans, &ours.1);
         match postcard::from_bytes::<Carried>(&module) {
             Ok(carried) => {
                 let hosts = locked(&self.hosts);
                 let number = |(theirs, id): (u32, String)| Some((theirs, hosts.number(&id)?));
                 let numbers: HashMap<u32, u32> = destinations.into_iter().filter_map(number).collect();
-                let ours = self.desk.names();
-                self.enter_all(ledger, &plans, &ours.1);
                 let (plans, classes) = (places(&plans, &ours.1), places(&classes, &ours.0));
                 self.exchange.take_over(carried.renumbered(&numbers, &plans, &classes));
             }
