--- a/crates/cluster/src/brain.rs
+++ b/crates/cluster/src/brain.rs
@@ -68,6 +68,8 @@
     teller: Teller,
     dropped: Arc<AtomicU64>,
     strange: u64,
+    /// Names that two members have.
+    twins: Vec<String>,
     left: bool,
 }
 
@@ -127,6 +129,7 @@
             teller: Teller::default(),
             dropped,
             strange: 0,
+            twins: Vec::new(),
             left: false,
         }
     }
@@ -268,6 +271,15 @@
             let living = membership.living();
             let (count, names) = (living.len(), living.join(" "));
             tracing::info!(count, names, "cluster: {count} members live: {names}");
+            let twins = membership.twins();
+            if twins != self.twins && !twins.is_empty() {
+                let names = twins.join(" ");
+                tracing::warn!(
+                    names,
+                    "cluster: more than one member is called {names}; each name must be one instance's"
+                );
+            }
+            self.twins = twins;
             self.scheduler.set_members(now, living);
         }
     }
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -17,7 +17,7 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -116,20 +116,21 @@
 #[derive(Debug)]
 pub struct Cluster {
     events: SyncSender<Event>,
+    offset: Arc<AtomicI64>,
 }
 
 /// The clocks of this instance.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Clocks {
     start: Instant,
-    offset: i64,
+    offset: Arc<AtomicI64>,
 }
 
 impl Clocks {
     pub(crate) fn now(&self) -> duties::Now {
         let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
         duties::Now {
-            wall: wall.saturating_add_signed(self.offset),
+            wall: wall.saturating_add_signed(self.offset.load(Ordering::Relaxed)),
             mono: self.start.elapsed().as_millis() as u64,
         }
     }
@@ -142,7 +143,8 @@
     ///
     /// The gossip's address cannot be used.
     pub fn start(settings: Settings, calls: Vec<Call>, on_out: OnOut) -> io::Result<Arc<Self>> {
-        let clocks = Clocks { start: Instant::now(), offset: settings.clock_offset };
+        let offset = Arc::new(AtomicI64::new(settings.clock_offset));
+        let clocks = Clocks { start: Instant::now(), offset: offset.clone() };
         let (events, inbox) = sync_channel(MOST_EVENTS);
         let dropped = Arc::new(AtomicU64::new(0));
         let socket = match &settings.gossip {
@@ -154,10 +156,10 @@
             None => None,
         };
         let store = work::store_pool(&settings, CALLERS, &events);
-        let runs = work::run_pool(&settings, clocks, &events);
+        let runs = work::run_pool(&settings, clocks.clone(), &events);
         let brain = Brain::new(settings, clocks, socket, store, runs, on_out, dropped);
         thread::Builder::new().name("cluster".into()).spawn(move || brain.run(&inbox, calls))?;
-        Ok(Arc::new(Self { events }))
+        Ok(Arc::new(Self { events, offset }))
     }
 
     /// Takes another list of calls.
@@ -170,6 +172,11 @@
         self.post(Event::Keys(keys));
     }
 
+    /// Sets the wall clock so many milliseconds off, for trials of clocks that are set.
+    pub fn set_clock_offset(&self, ms: i64) {
+        self.offset.store(ms, Ordering::Relaxed);
+    }
+
     /// Takes the fleet as it is now: ids and addresses.
     pub fn set_fleet(&self, fleet: Vec<(String, SocketAddr)>) {
         self.post(Event::Fleet(fleet));
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -317,6 +317,22 @@
         names
     }
 
+    /// Where the living hear gossip, this instance aside.
+    pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> {
+        self.foca.iter_members().map(|m| m.id().address)
+    }
+
+    /// Names that more than one of the living have, this instance too. Each is one member to whoever goes by names.
+    pub fn twins(&self) -> Vec<String> {
+        let others = self.foca.iter_members().map(|m| &m.id().name);
+        let mut names: Vec<&String> = others.chain([&self.config.me.name]).collect();
+        names.sort_unstable();
+        let twice = names.windows(2).filter(|two| two[0] == two[1]).map(|two| two[0].clone());
+        let mut twice: Vec<String> = twice.collect();
+        twice.dedup();
+        twice
+    }
+
     /// How many live, this instance too.
     pub fn count(&self) -> usize {
         self.foca.num_members() + 1
--- a/crates/rig/src/load.rs
+++ b/crates/rig/src/load.rs
@@ -38,6 +38,8 @@
 
 /// A client gives up after this; an answer so late has broken its rule long before.
 const PATIENCE: Duration = Duration::from_secs(5);
+/// A connection that does not come up within this never does: the way to the program is cut.
+const COMES_UP: Duration = Duration::from_secs(1);
 /// Before it calls again where nobody was there.
 const NOBODY: Duration = Duration::from_millis(50);
 
@@ -93,7 +95,9 @@
         let mut connection = match self.connection.take() {
             Some(connection) => connection,
             None => {
-                let Ok(stream) = TcpStream::connect(self.at) else { return Ok(End::Untaken) };
+                let Ok(stream) = TcpStream::connect_timeout(&self.at, COMES_UP) else {
+                    return Ok(End::Untaken);
+                };
                 let _ = (stream.set_nodelay(true), stream.set_read_timeout(Some(PATIENCE)));
                 BufReader::new(stream)
             }
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -135,6 +135,11 @@
         self.signal(Signal::TERM);
     }
 
+    /// Tells it to take its file anew.
+    pub fn reload(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// Stops it until [`Process::go_on`].
     pub fn stop(&self) {
         self.signal(Signal::STOP);
@@ -200,6 +205,11 @@
 pub struct Log(Arc<(Mutex<Seen>, Condvar)>);
 
 impl Log {
+    /// How many lines so far hold this text.
+    pub fn count(&self, text: &str) -> usize {
+        held(&self.0).lines.iter().filter(|l| l.contains(text)).count()
+    }
+
     /// Waits for a line that holds this text; tells whether one came before the program's end and in time.
     pub fn logged(&self, text: &str) -> bool {
         let waits = |seen: &mut Seen| !seen.ended && !seen.lines.iter().any(|l| l.contains(text));
--- a/crates/snowfield/src/duties.rs
+++ b/crates/snowfield/src/duties.rs
@@ -111,6 +111,7 @@
         if let Some(keys) = keys {
             cluster.set_keys(keys);
         }
+        cluster.set_clock_offset(file.cluster.as_ref().map_or(0, |c| c.clock_offset_ms));
         Ok(done)
     };
     match read() {
