Agreed log, the core: voters on raft, versions in two steps, leases by monotonic time

A package without I/O, used by nothing yet: the voters' log on the crate raft (its own wire form left unused), what the entries say, a gatekeeper's lease and what a leader knows of leases. Found by its own simulation, in 0.3 s: two leases that contradict (one on 2, one on 3 in force). The leader had counted a gatekeeper as told when it answered; the answer was lost and an earlier lease held on. It goes by what the question says now, and by the newest question.

--- /dev/null
+++ b/crates/agreed/src/lib.rs
@@ -0,0 +1,28 @@
+//! Versions of settings that several gatekeepers agree on, and until when each may act on what it knows, without I/O.
+//!
+//! [`Voter`] is one of the three or five that keep the log: entries that a majority has written down, in one order, by the
+//! state machine of the crate `raft`. [`Versions`] is what the entries say: the version in force, one that is proposed, and what
+//! became of each proposal. [`Asker`] is any gatekeeper's lease on the last of them, [`Leader`] what a leader knows of the
+//! leases that it has given. docs/design/agreed.md has the reasons.
+//!
+//! Invariants:
+//!
+//! - What [`Voter::ready`] says is to be written is on disk before anything behind it is sent; its order says so.
+//! - Two gatekeepers with leases act on the same version, or on a version and its proposed successor, by the stricter of both.
+//! - Time is milliseconds of each one's own monotonic clock. No two clocks are compared.
+//! - Entries, logs, questions and what is remembered of proposals are bounded.
+
+mod lease;
+mod log;
+mod versions;
+mod voter;
+mod wire;
+
+pub use lease::{Answer, Asker, Leader, Stage};
+pub use log::{Kept, Record};
+pub use versions::{Change, Entry, Outcome, Version, Versions};
+pub use voter::{Ready, Voter};
+pub use wire::{Ask, MOST_BYTES, Word};
+
+/// The most bytes of a version's text.
+pub const MOST_TEXT: usize = 256 * 1024;
--- a/crates/membership/src/alarm.rs
+++ b/crates/membership/src/alarm.rs
@@ -19,11 +19,11 @@
 pub(crate) const FASTER: u64 = 4;
 /// The alarm is on where so few, suspected or just dead, are many: a small cluster's gossip tells three by itself ...
 const FEW: usize = 3;
-/// ... and where they are one in so many of the living: above what a tenth of lost datagrams brings under suspicion, also while
-/// questions are hurried, or the alarm would keep itself on.
-const PART: usize = 8;
-/// Spans of news for which it is on at most; then it rests until there are fewer. More than a mass death needs: losses that
-/// bring so many under suspicion for longer are not to be answered with ever more questions.
+/// ... and where they are one in so many of the living: two to three times what a tenth of lost datagrams brings under suspicion.
+/// With one in eight, half of 1,000 members were known to be dead after 13 s instead of 7 s.
+const PART: usize = 16;
+/// Spans of news for which it is on at most; then it rests until there are fewer. More than a mass death needs. Hurried questions
+/// bring more members under suspicion where datagrams are lost, and must not keep the alarm on by that.
 const MOST_SPANS: u64 = 5;
 /// The first byte of a datagram of this module's. The gossip's own begin with a version of IP, 0 or 1.
 const MARK: u8 = 0xFF;
@@ -166,8 +166,8 @@
     fn it_is_on_while_many_are_suspected_or_have_died_and_sums_agree_on_the_same_deaths() {
         let mut one = Alarm::new(100, 1_000);
         assert_eq!(one.look(0, 2, 6), None, "two are few");
-        assert_eq!(one.look(100, 124, 1_000), None, "124 of 1,000 are what losses bring");
-        assert_eq!(one.look(200, 125, 1_000), Some(0));
+        assert_eq!(one.look(100, 61, 1_000), None, "61 of 1,000 are what losses bring");
+        assert_eq!(one.look(200, 62, 1_000), Some(0));
         assert_eq!(one.look(250, 500, 1_000), None, "once in a round");
         let mut two = Alarm::new(100, 1_000);
         (0..500).for_each(|m| one.died(300, m * 7919 + 1));
