--- a/crates/snowfield/src/propose.rs
+++ b/crates/snowfield/src/propose.rs
@@ -26,7 +26,7 @@
 #[command(name = "snowfield settings", disable_version_flag = true)]
 /// Change the plans that the gatekeepers agree on.
 ///
-/// FILE is an appliance's file with the table [agreed]. Exit codes: 0 done, 1 refused or not to be used, 3 another change was taken
+/// FILE is an appliance's file with the table `agreed`. Exit codes: 0 done, 1 refused or not to be used, 3 another change was taken
 /// instead, 4 no majority of the voters answers.
 struct Words {
     #[command(subcommand)]
