One reading of a history's faults for all checkers, and a closure that was bound twice

Read again: faults_of in checks.rs was faults() once more with a kind; faults() tells the kind now, and each span has names instead of a tuple. disk.rs bound its closure twice. Behaviour and bounds as before: tests of rig and quorum, clippy on them and on the proofs.

--- a/crates/quorum/src/disk.rs
+++ b/crates/quorum/src/disk.rs
@@ -149,7 +149,7 @@
         }
         let data = postcard::to_stdvec(&records).map_err(|e| e.to_string())?;
         records.into_iter().try_for_each(|record| self.kept.take(record))?;
-        let written = || -> io::Result<()> {
+        let mut written = || -> io::Result<()> {
             let bytes = frame(self.frames, &data);
             self.file.write_all(&bytes)?;
             self.file.sync_data()?;
@@ -158,7 +158,6 @@
             write_whole(&witness(&self.path), &counted(self.frames))?;
             if self.length > LARGE && self.length > 2 * self.least { self.write_anew() } else { Ok(()) }
         };
-        let mut written = written;
         written().map_err(|e| e.to_string())
     }
 
--- a/crates/rig/src/checks.rs
+++ b/crates/rig/src/checks.rs
@@ -44,34 +44,43 @@
     Violation { rule, text }
 }
 
-/// Each fault from its begin to its end: the span, whose clients may miss an answer, and whether sends may arrive late.
-fn faults(history: &[Record]) -> Vec<((u64, u64), &[String], bool)> {
+/// A fault from its begin to its end.
+struct Span<'a> {
+    span: (u64, u64),
+    kind: &'a str,
+    /// Whose clients may miss an answer.
+    hits: &'a [String],
+    /// Sends may arrive late.
+    late: bool,
+}
+
+fn faults(history: &[Record]) -> Vec<Span<'_>> {
     let mut open = HashMap::new();
     let mut all = Vec::new();
     for record in history {
-        let What::Fault { number, begins, hits, late, .. } = &record.what else { continue };
+        let What::Fault { number, kind, begins, hits, late } = &record.what else { continue };
         if *begins {
-            open.insert(*number, (record.at, hits.as_slice(), *late));
-        } else if let Some((from, hits, late)) = open.remove(number) {
-            all.push(((from, record.at), hits, late));
+            open.insert(*number, Span { span: (record.at, u64::MAX), kind, hits, late: *late });
+        } else if let Some(fault) = open.remove(number) {
+            all.push(Span { span: (fault.span.0, record.at), ..fault });
         }
     }
-    all.extend(open.into_values().map(|(from, hits, late)| ((from, u64::MAX), hits, late)));
+    all.extend(open.into_values());
     all
 }
 
 /// When each program's clients may miss an answer, as spans of time.
 fn hits(history: &[Record]) -> HashMap<&str, Vec<(u64, u64)>> {
     let mut spans: HashMap<&str, Vec<(u64, u64)>> = HashMap::new();
-    for (span, hits, _) in faults(history) {
-        hits.iter().for_each(|who| spans.entry(who).or_default().push(span));
+    for fault in faults(history) {
+        fault.hits.iter().for_each(|who| spans.entry(who).or_default().push(fault.span));
     }
     spans
 }
 
 /// When what programs send may arrive late, as spans of time.
 fn late_spans(history: &[Record]) -> Vec<(u64, u64)> {
-    faults(history).into_iter().filter(|f| f.2).map(|f| f.0).collect()
+    faults(history).into_iter().filter(|f| f.late).map(|f| f.span).collect()
 }
 
 /// Each operation that a program took has one final answer, its own, and in time.
@@ -298,9 +307,9 @@
 ///
 /// A program's own lines tell when it began to act on what, with its own clock's time; one that is stopped acts on nothing.
 pub fn contradiction(history: &[Record]) -> (u64, String) {
-    let still = faults_of(history, "stopped");
+    let still: Vec<Span<'_>> = faults(history).into_iter().filter(|f| f.kind == "stopped").collect();
     let stands = |who: &str, at: u64| {
-        still.iter().any(|((from, to), hits)| hits.iter().any(|h| h == who) && *from <= at && at < *to)
+        still.iter().any(|f| f.hits.iter().any(|h| h == who) && f.span.0 <= at && at < f.span.1)
     };
     let mut acts: BTreeMap<&str, Acts> = BTreeMap::new();
     let (mut since, mut longest) = (None::<(u64, String)>, (0, String::new()));
@@ -349,32 +358,6 @@
     (longest.0 / 1_000, longest.1)
 }
 
-/// Faults of this kind: from begin to end, and whom they hit.
-fn faults_of<'a>(history: &'a [Record], kind: &str) -> Vec<((u64, u64), &'a [String])> {
-    let numbers: HashSet<usize> = history
-        .iter()
-        .filter_map(|r| match &r.what {
-            What::Fault { number, kind: of, .. } if of == kind => Some(*number),
-            _ => None,
-        })
-        .collect();
-    let mut open = HashMap::new();
-    let mut all = Vec::new();
-    for record in history {
-        let What::Fault { number, begins, hits, .. } = &record.what else { continue };
-        if !numbers.contains(number) {
-            continue;
-        }
-        if *begins {
-            open.insert(*number, (record.at, hits.as_slice()));
-        } else if let Some((from, hits)) = open.remove(number) {
-            all.push(((from, record.at), hits));
-        }
-    }
-    all.extend(open.into_values().map(|(from, hits)| ((from, u64::MAX), hits)));
-    all
-}
-
 /// No two programs act for longer than this on versions that contradict each other.
 pub fn versions(history: &[Record], bounds: &Bounds) -> Vec<Violation> {
     let (ms, who) = contradiction(history);
