--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run check doc limits faults proof-agreed proof-faults proof-checkers proof-duties proof-catalogue \
+.PHONY: build test lint run check doc limits faults sites proof-agreed proof-faults proof-checkers proof-duties proof-catalogue \
         proof-membership proof-platform-cost proof-timing
 
 # The most non-blank lines and the widest line of the decision module.
@@ -28,6 +28,10 @@
 	echo "src/control.rs: $$lines non-blank lines ($(LINES) at most), widest line $$widest ($(WIDTH) at most)"; \
 	[ "$$lines" -le $(LINES) ] && [ "$$widest" -le $(WIDTH) ]
 
+# Variants of the operators' site, as settings of other customers, beside deploy/sites/generate.py. It wants the operators' kit.
+sites:
+	@python3 deploy/sites/generate.py
+
 # Several programs under injected faults, the named courses of 10 s: under a minute.
 faults: build
 	target/release/proof-faults --short
