Hear a silent watch in time: lines as signs of life, indented lists, a first list at the start

Seen: a watch whose agent sends bytes but no line was kept for good; a silent one was noticed after 4.5 to 4.75 s, and with one call that got no answer (4.5 s more) what the agent had was known only after 10 s, where 6 s are owed. A list over several lines was read as several broken ones, each of which ended the watch. A list that nests 200,000 deep overran the stack of the reader of JSON: the watch was silent for ever after. Checked: the pauses (pace.rs) alone take 2 x 1.9 s at worst; the start (platform.rs) served from the list of long ago before the agent was heard, although what the agent has counts as told from the first moment. Lines at fault: Watch::follow renewed its clock at each byte and cut at line ends; SILENCE 4.5 s; LONGEST_TOLD 1 s; platform.rs waited for the first list only in an upgrade.

Change: objects are found by their brackets (new crate json_stream, which also tells what nests deeper than 64 before any reader recurses: settings and descriptions ask it too); only a line or an object is a sign of life; 3 s of silence, 1 s for an answer, pauses of 0.3 s mean: 3 + 0.25 + 0.57 + 1 + 0.25 + 0.57 s at worst. A start waits for its first list, a call's failure or 0.5 s. The on-call check reads sources in folders too.

Each test fails without its part: silence at 4.5 s, pauses at 1 s, answers at 3 s, bytes as signs of life, no depth limit, no wait at the start (all tried).

--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -3,6 +3,7 @@
 mod pace;
 
 use http::{Chunks, Framing};
+use json_stream::{Item, Objects};
 use link::{Incoming, Link, locked};
 pub use pace::Pace;
 use settings::HostList;
@@ -11,25 +12,35 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-/// The agent writes at least an empty line in 2 s; a link without any for this long is dead.
-const SILENCE: Duration = Duration::from_millis(4_500);
+/// The agent writes a line in each 2 s, be it an empty one: a watch without any for this long is broken. What it misses counts
+/// as told 6 s after it fell silent, and before that one more call may fail ([`Pace`] has the sum).
+pub const SILENCE: Duration = Duration::from_secs(3);
 const CONNECT: Duration = Duration::from_millis(500);
 /// How soon a pause notices that the agent has moved.
 const LOOK: Duration = Duration::from_millis(100);
 /// The most bytes of one object: some thousand destinations.
-const LARGEST_LINE: usize = 4 * 1024 * 1024;
+const LARGEST_OBJECT: usize = 4 * 1024 * 1024;
 
 /// The watch on the discovery agent.
 pub struct Watch {
     place: Mutex<Place>,
 }
 
-/// Where the agent is, and the connection to it with the time at which it last spoke.
+/// Where the agent is, and the connection to it with the time by which it has to speak.
 struct Place {
     address: SocketAddr,
     open: Option<(Arc<Link>, Instant)>,
 }
 
+/// What a watch tells.
+#[derive(Debug)]
+pub enum News {
+    /// A list.
+    List(HostList),
+    /// A call has failed, or a watch has ended: nothing is heard for now.
+    Lost,
+}
+
 impl Watch {
     /// A watch that is not yet running.
     pub fn new(address: SocketAddr) -> Arc<Self> {
@@ -51,21 +62,28 @@
 
     /// Closes a connection that has gone silent; call it now and then.
     pub fn sweep(&self) {
-        if let Some((link, heard)) = &locked(&self.place).open
-            && heard.elapsed() > SILENCE
+        if let Some((link, until)) = &locked(&self.place).open
+            && Instant::now() > *until
         {
             link.close();
         }
     }
 
+    /// The agent has this long from now on to say something.
+    fn heard(&self, patience: Duration) {
+        if let Some((_, until)) = &mut locked(&self.place).open {
+            *until = Instant::now() + patience;
+        }
+    }
+
     /// Watches for ever, from this version on; runs in a coroutine with a large stack, since it parses JSON. `told`
     /// gets each list.
-    pub fn run(&self, mut rev: u64, mut pace: Pace, told: impl Fn(HostList)) {
+    pub fn run(&self, mut rev: u64, mut pace: Pace, told: impl Fn(News)) {
         let mut lost = false;
         loop {
             let from = locked(&self.place).address;
             let begun = Instant::now();
-            let ended = self.follow(from, &mut rev, &told, &mut lost);
+            let ended = self.follow(from, &mut rev, pace.answer(), &told, &mut lost);
             {
                 let mut place = locked(&self.place);
                 place.open.take();
@@ -74,6 +92,7 @@
                     continue;
                 }
             }
+            told(News::Lost);
             if !lost {
                 tracing::warn!("discovery: the watch ended ({ended}); the last list stays, version {rev}");
                 lost = true;
@@ -94,7 +113,14 @@
     }
 
     /// One connection's life; returns why it ended.
-    fn follow(&self, from: SocketAddr, rev: &mut u64, told: &impl Fn(HostList), lost: &mut bool) -> String {
+    fn follow(
+        &self,
+        from: SocketAddr,
+        rev: &mut u64,
+        answer: Duration,
+        told: &impl Fn(News),
+        lost: &mut bool,
+    ) -> String {
         let link = match Link::connect(from, CONNECT) {
             Ok(link) => Arc::new(link),
             Err(error) => return error.to_string(),
@@ -104,14 +130,14 @@
             if place.address != from {
                 return "the agent has moved".into();
             }
-            place.open = Some((link.clone(), Instant::now()));
+            place.open = Some((link.clone(), Instant::now() + answer));
         }
         let mut request = String::new();
         let _ = write!(request, "GET /discovery/hosts?stream=1&index={rev} HTTP/1.1\r\nHost: {from}\r\n\r\n");
         if let Err(error) = link.send(request.as_bytes()) {
             return error.to_string();
         }
-        let (mut raw, mut body) = (Vec::new(), Vec::new());
+        let (mut raw, mut objects) = (Vec::new(), Objects::new(LARGEST_OBJECT));
         let mut head = None;
         let mut chunks = Chunks::default();
         loop {
@@ -120,14 +146,12 @@
                 Ok(Incoming::End) => return "the agent closed it".into(),
                 Err(error) => return error.to_string(),
             }
-            if let Some((_, heard)) = &mut locked(&self.place).open {
-                *heard = Instant::now();
-            }
             if head.is_none() {
                 match http::final_head(&raw, false) {
                     Ok(Some((h, from))) if h.status == 200 => {
                         raw.drain(..from + h.end);
                         head = Some(h);
+                        self.heard(SILENCE);
                     }
                     Ok(Some((h, _))) => return format!("status {}", h.status),
                     Ok(None) => continue,
@@ -135,32 +159,35 @@
                 }
             }
             match head.as_ref().map(|h| h.framing) {
-                Some(Framing::Chunked) => match chunks.decode(&raw, 0, &mut body) {
+                Some(Framing::Chunked) => match chunks.decode(&raw, 0, objects.input()) {
                     Ok(used) => drop(raw.drain(..used)),
                     Err(error) => return error.to_string(),
                 },
-                _ => body.append(&mut raw),
+                _ => objects.input().append(&mut raw),
             }
-            while let Some(end) = body.iter().position(|&b| b == b'\n') {
-                let mut line: Vec<u8> = body.drain(..=end).collect();
-                if line.trim_ascii().is_empty() {
-                    continue;
-                }
-                match simd_json::serde::from_slice::<HostList>(&mut line) {
+            loop {
+                let mut object = match objects.next_item() {
+                    Ok(Some(Item::Object(object))) => object,
+                    Ok(Some(Item::LineEnd)) => {
+                        self.heard(SILENCE);
+                        continue;
+                    }
+                    Ok(None) => break,
+                    Err(error) => return format!("an unreadable list: {error}"),
+                };
+                match simd_json::serde::from_slice::<HostList>(&mut object) {
                     Ok(list) => {
                         if *lost {
                             tracing::info!("discovery: the watch is back at version {}", list.rev);
                             *lost = false;
                         }
                         *rev = list.rev;
-                        told(list);
+                        told(News::List(list));
+                        self.heard(SILENCE);
                     }
-                    Err(error) => return format!("an unreadable object: {error}"),
+                    Err(error) => return format!("an unreadable list: {error}"),
                 }
             }
-            if body.len() > LARGEST_LINE {
-                return "an object is too large".into();
-            }
             if chunks.is_done() {
                 return "the answer ended".into();
             }
--- a/crates/openapi/src/lib.rs
+++ b/crates/openapi/src/lib.rs
@@ -271,6 +271,9 @@
 fn parse(text: &str) -> Result<Node, String> {
     if text.trim_start().starts_with('{') {
         let mut bytes = text.as_bytes().to_vec();
+        if json_stream::nests_too_deep(&bytes) {
+            return Err("unreadable JSON: it nests too deep".into());
+        }
         simd_json::serde::from_slice(&mut bytes).map_err(|e| format!("unreadable JSON: {e}"))
     } else {
         yaml_serde::from_str(text).map_err(|e| format!("unreadable YAML: {e}"))
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -318,12 +318,19 @@
     text.parse().map_err(|_| ConfigError(format!("{what}: {text:?} is no address and port")))
 }
 
+/// The reader of JSON recurses: a file that nests without end would use up its stack and end the program.
+fn not_too_deep(json: &[u8]) -> Result<(), ConfigError> {
+    let deep = json_stream::nests_too_deep(json);
+    if deep { Err(ConfigError("it nests too deep".into())) } else { Ok(()) }
+}
+
 /// Reads config.json. The bytes are used up in place.
 ///
 /// # Errors
 ///
 /// The text names what is missing or cannot be used.
 pub fn parse(json: &mut [u8]) -> Result<Config, ConfigError> {
+    not_too_deep(json)?;
     let file: File = simd_json::serde::from_slice(json).map_err(|e| ConfigError(e.to_string()))?;
     let seed = u64::from_str_radix(&file.seed, 16);
     let seed = seed.map_err(|_| ConfigError(format!("seed: {:?} is no hexadecimal number", file.seed)))?;
--- a/crates/settings/src/shape.rs
+++ b/crates/settings/src/shape.rs
@@ -18,8 +18,9 @@
     ///
     /// # Errors
     ///
-    /// It is no JSON.
+    /// It is no JSON, or nests too deep.
     pub fn of(json: &mut [u8]) -> Result<Self, ConfigError> {
+        crate::not_too_deep(json)?;
         let value = simd_json::to_owned_value(json).map_err(|e| ConfigError(e.to_string()))?;
         Ok(Self(keys(&value, 0)))
     }
--- a/crates/snowfield/src/platform.rs
+++ b/crates/snowfield/src/platform.rs
@@ -7,7 +7,7 @@
 use counter::CounterClient;
 use destination::{Limits, Pools, RespDestination};
 use dewproxy::interface::{Effect, ListKind, Micros};
-use discovery::{Pace, Watch};
+use discovery::{News, Pace, Watch};
 use exchange::{Clock, Exchange};
 use front_resp::{ClassRule, Front, Rules};
 use handover::Place;
@@ -30,7 +30,8 @@
 
 /// Part of the memory that answers which are passed on as they come may hold together.
 const STREAMS_PART: usize = 4;
-/// How long a program that takes another's place waits for its first list.
+/// How long a program waits for its first list before it serves: the one that it knows may be of long ago, and what the agent
+/// has counts as told from the first moment on.
 const FIRST_LIST: Duration = Duration::from_millis(500);
 
 /// Reads the configuration, serves until a signal, and answers what was taken.
@@ -244,11 +245,13 @@
     let (tell, first_list) = sync_channel(1);
     let pace = Pace::new(config.seed, config.settings.must_ask);
     spawn_with(link::LARGE_STACK, move || {
-        watching.run(rev, pace, |list| {
-            let kind = if list.all { ListKind::Full } else { ListKind::Changes };
-            let (entries, places) = link::locked(&known_hosts).translate(list);
-            told_pools.listed(kind, &places);
-            told.listed(kind, entries);
+        watching.run(rev, pace, |news| {
+            if let News::List(list) = news {
+                let kind = if list.all { ListKind::Full } else { ListKind::Changes };
+                let (entries, places) = link::locked(&known_hosts).translate(list);
+                told_pools.listed(kind, &places);
+                told.listed(kind, entries);
+            }
             // Only the first is waited for.
             let _ = tell.try_send(());
         });
@@ -280,11 +283,11 @@
         front: front.clone(),
         passing: Default::default(),
     });
+    // An agent that does not answer has told nothing: then the list that is known has to do.
+    let _ = first_list.recv_timeout(FIRST_LIST);
     let mut taken = None;
     if let Some(old) = folder.as_deref().and_then(upgrade::call) {
         desk.set_peer(Some(old.clone()));
-        // Its list may be of long ago: what drains or has gone should be known before anything is sent.
-        let _ = first_list.recv_timeout(FIRST_LIST);
         match upgrade.take(&old) {
             Ok(door) => taken = Some((door, old)),
             Err(why) => tracing::info!("upgrade: nothing was taken over ({why}); starting without it"),
--- a/crates/snowfield/tests/common/mod.rs
+++ b/crates/snowfield/tests/common/mod.rs
@@ -44,9 +44,14 @@
 
     /// The first log line from now on that holds this text.
     pub fn line(&self, text: &str) -> String {
+        self.line_of(&[text])
+    }
+
+    /// The first log line from now on that holds one of these texts.
+    pub fn line_of(&self, texts: &[&str]) -> String {
         loop {
             let line = next(&self.lines);
-            if line.contains(text) {
+            if texts.iter().any(|text| line.contains(text)) {
                 return line;
             }
         }
--- a/crates/snowfield/tests/oncall.rs
+++ b/crates/snowfield/tests/oncall.rs
@@ -1,6 +1,6 @@
 //! Each line that the program may log is on the on-call page.
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 /// The longest part of a format string that is the same in every line.
 fn constant(format: &str) -> &str {
@@ -8,6 +8,12 @@
     parts.max_by_key(|part| part.len()).unwrap_or_default().trim()
 }
 
+/// All sources in a folder, and in those below it.
+fn sources(folder: &Path) -> Vec<PathBuf> {
+    let here = folder.read_dir().expect("a crate's sources").flatten().map(|file| file.path());
+    here.flat_map(|path| if path.is_dir() { sources(&path) } else { vec![path] }).collect()
+}
+
 #[test]
 fn each_log_line_is_explained() {
     let crates = Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/.."));
@@ -20,18 +26,18 @@
         if apart.iter().any(|a| name.to_str().is_some_and(|n| n.starts_with(a))) {
             continue;
         }
-        for file in folder.path().join("src").read_dir().expect("a crate's sources").flatten() {
+        for file in sources(&folder.path().join("src")) {
             // What the console shows is no log.
-            if file.file_name() == "console.rs" {
+            if file.file_name().is_some_and(|name| name == "console.rs") {
                 continue;
             }
-            let source = std::fs::read_to_string(file.path()).expect("a source");
+            let source = std::fs::read_to_string(&file).expect("a source");
             let calls = source.split("tracing::").skip(1);
             for call in calls.filter(|c| c.starts_with("info!(") || c.starts_with("warn!(")) {
                 // Fields come first; the words are the first text in quotes.
                 let text = constant(call.split('"').nth(1).unwrap_or_default());
                 let begin = text.split([';', '(']).find(|part| part.len() > 3).unwrap_or(text).trim();
-                assert!(page.contains(begin), "{}: {begin:?}", file.path().display());
+                assert!(page.contains(begin), "{}: {begin:?}", file.display());
                 lines += 1;
             }
         }
--- a/crates/snowfield/tests/platform.rs
+++ b/crates/snowfield/tests/platform.rs
@@ -319,6 +319,44 @@
     assert!(all_asked(&old_seen).is_empty());
 }
 
+/// Guards the first moments of a new process: what the agent has counts as told from there on, and the list that it starts from
+/// may be of long ago. The state is one that it has to log, which tells when the list was read.
+#[test]
+fn a_program_that_starts_hears_the_agent_before_it_serves() {
+    let (old, old_seen) = echo();
+    let (new, _new_seen) = echo();
+    let (agent, folder) = (agent(), Folder::new("first-list"));
+    let shape = Shape { destinations: &[old], ..Shape::default() };
+    let path = folder.write("config.json", &config(agent.address, &shape));
+    let program = Program::start(&[], &[("BALANCER_CONFIG", &path)]);
+    let (_, watch) = next(&agent.watches);
+    let changes = [host("s-0", old, "leaving"), host("s-new", new, "up")];
+    watch.send(list(41, false, &changes)).expect("the watch is open");
+    let first = program.line_of(&["unknown state", "serving on "]);
+    assert!(first.contains("unknown state"), "{first}");
+    let mut client = Client::connect(program.logged("serving on ").parse().expect("an address"));
+    client.send(&query(1, 2400, 1));
+    assert_eq!(client.reply(), id(1));
+    assert!(all_asked(&old_seen).is_empty());
+}
+
+/// Guards starts while discovery is down: the agent says nothing, and the list that is known has to do.
+#[test]
+fn a_program_that_starts_serves_without_the_agent() {
+    let (at, _seen) = echo();
+    let silent =
+        listen(|stream| while std::io::Read::read(&mut &stream, &mut [0; 4096]).is_ok_and(|n| n > 0) {});
+    for agent in [nobody(), silent] {
+        let folder = Folder::new("no-agent");
+        let shape = Shape { destinations: &[at], ..Shape::default() };
+        let path = folder.write("config.json", &config(agent, &shape));
+        let program = Program::start(&[], &[("BALANCER_CONFIG", &path)]);
+        let mut client = Client::connect(program.logged("serving on ").parse().expect("an address"));
+        client.send(&query(1, 2400, 1));
+        assert_eq!(client.reply(), id(1));
+    }
+}
+
 #[test]
 fn a_full_list_takes_the_place_of_the_old_one() {
     let (old, old_seen) = echo();
