Begin nothing for a client that has gone, and end sockets at the close with their answers

Seen (tests/endings.rs, a stopped program that goes on): a request and the end of its connection that came together were read one after the other, and requests were sent on in between (of 200 behind errors some 60 at a time); behind a malformed command the socket was not read any more, so its client's end was not seen and attempts went on to their deadline; at a planned restart a client that always had one more request on its way was never found between two, and was refused from 0.15 s before the kill on, with the socket still open; bytes that crossed the close reset the connection. Checked: not the module (it drops what Event::Left names); link::receive returned the first bytes without a look at what stood behind them; Front::end and hand_on waited without looking for the end; Front::close ended only what was between requests, and by a close over unread bytes.

Change: a read takes all that is here, so an end behind it is seen with it, and the system's event of an end counts though bytes are unread (Link::is_left); no further read than before, as the one that finds nothing is not made twice. Fronts begin nothing once that is known. A front that closes takes nothing more on a socket that holds no half request, answers what was taken, says its end, drains and closes. The OpenAPI front does the same, also for sockets idle for long.

--- a/crates/front_openapi/src/lib.rs
+++ b/crates/front_openapi/src/lib.rs
@@ -99,8 +99,10 @@
 
 /// Why a front socket serves no more requests.
 enum Stop {
-    /// The client is gone, or there is nothing to say.
+    /// The client is gone, or all is said.
     Gone,
+    /// It is between requests, and ends so that what crosses it is surely unread.
+    Quiet,
     /// This is said first.
     Problem(Problem),
 }
@@ -177,7 +179,10 @@
         for socket in self.open_sockets() {
             let (phase, since) = *locked(&socket.phase);
             match phase {
-                Phase::Idle if since.elapsed() > IDLE => socket.link.close(),
+                Phase::Idle if since.elapsed() > IDLE => {
+                    socket.unwanted.store(true, Ordering::Release);
+                    socket.link.wake();
+                }
                 // Woken, it looks at the time by itself.
                 Phase::Reading if since.elapsed() > self.setup.patience => socket.link.wake(),
                 Phase::Finishing if since.elapsed() > self.setup.patience => socket.link.close(),
@@ -222,6 +227,10 @@
             match stop {
                 None => {}
                 Some(Stop::Gone) => return,
+                Some(Stop::Quiet) => {
+                    socket.enter(Phase::Finishing);
+                    return socket.link.finish();
+                }
                 Some(Stop::Problem(problem)) => {
                     let _ = socket.link.send(&problem.bytes(true, false));
                     socket.enter(Phase::Finishing);
@@ -233,6 +242,10 @@
 
     /// Waits for a whole request. Its route and lender are looked up before its body is taken in.
     fn receive(&self, socket: &FrontSocket, buffer: &mut Vec<u8>) -> Result<Whole, Stop> {
+        // What it sent ahead is not begun for a client that has gone.
+        if socket.link.is_left() {
+            return Err(Stop::Gone);
+        }
         let head = loop {
             match http::request_head(buffer) {
                 Ok(Some(head)) => break head,
@@ -264,18 +277,20 @@
     fn more(&self, socket: &FrontSocket, buffer: &mut Vec<u8>) -> Result<(), Stop> {
         if buffer.is_empty() && locked(&socket.phase).0 != Phase::Reading {
             if self.closing.load(Ordering::Acquire) {
-                return Err(Stop::Gone);
+                return Err(Stop::Quiet);
             }
             socket.enter(Phase::Idle);
         }
         match socket.link.receive(buffer, READ) {
+            // What has come from a client that has gone since is not begun.
+            Ok(Incoming::Bytes(_)) if socket.link.is_left() => return Err(Stop::Gone),
             Ok(Incoming::Bytes(_)) => socket.enter(Phase::Reading),
             Ok(Incoming::Woken) => {
                 let (phase, since) = *locked(&socket.phase);
                 // Only here, where nothing is left to read, is it sure that no request has come in unseen.
                 let unwanted = socket.unwanted.swap(false, Ordering::AcqRel);
                 if unwanted && phase == Phase::Idle && since.elapsed() >= QUIET {
-                    return Err(Stop::Gone);
+                    return Err(Stop::Quiet);
                 }
                 if phase == Phase::Reading && since.elapsed() > self.setup.patience {
                     let detail = "the request came too slowly";
@@ -353,8 +368,7 @@
             socket.enter(Phase::Idle);
             return None;
         }
-        socket.link.finish();
-        Some(Stop::Gone)
+        Some(Stop::Quiet)
     }
 
     /// Hands a request to the exchange and waits for its final answer, or for the client to leave.
@@ -397,7 +411,7 @@
                 socket.link.is_closed()
             } else {
                 matches!(socket.link.receive(buffer, READ), Ok(Incoming::End) | Err(_))
-            };
+            } || socket.link.is_left();
             if gone {
                 self.exchange.left(id);
                 return Err(Stop::Gone);
--- a/crates/front_resp/src/lib.rs
+++ b/crates/front_resp/src/lib.rs
@@ -154,11 +154,6 @@
         // Dropped with the lock free: a stream tells its destination.
         drop(unwanted);
     }
-
-    fn between_requests(&self) -> bool {
-        let turns = locked(&self.turns);
-        turns.turns.is_empty() && turns.partial.is_none() && self.link.unsent() == 0
-    }
 }
 
 impl Turns {
@@ -179,10 +174,14 @@
     }
 }
 
-/// Why a front socket is woken and ends.
+/// Why a front socket ends.
 enum End {
-    /// It is between requests.
+    /// Its client has gone: nobody waits for anything on it.
+    Gone,
+    /// It has been between requests for long.
     Quiet,
+    /// It was marked as ending: nothing more is taken, and what was taken is answered.
+    Last,
     /// Another process goes on with it.
     PassedOn,
     /// This error comes first, in its turn.
@@ -343,7 +342,8 @@
         match self.read(socket, begun) {
             End::Error(text) => self.end(socket, text),
             End::PassedOn => return,
-            End::Quiet => {}
+            End::Last => self.finish(socket),
+            End::Quiet | End::Gone => {}
         }
         socket.link.close();
         let turns = std::mem::take(&mut locked(&socket.turns).turns);
@@ -362,6 +362,10 @@
             if self.frozen.load(Ordering::Acquire) && self.hand_on(socket, &mut buffer) {
                 return End::PassedOn;
             }
+            // What has come from a client that has gone since is not begun.
+            if socket.link.is_left() {
+                return End::Gone;
+            }
             let (mut at, mut errors) = (0, false);
             while !self.frozen.load(Ordering::Acquire) {
                 match resp::command(&buffer, at) {
@@ -386,6 +390,11 @@
                 if turns.turns.len() > MOST_TURNS {
                     return End::Error("too many commands at once");
                 }
+                // A client that always has another one on its way would never be found between requests.
+                if self.closing.load(Ordering::Acquire) && turns.partial.is_none() {
+                    turns.end();
+                    return End::Last;
+                }
             }
             if errors {
                 sleep(PENALTY);
@@ -400,7 +409,7 @@
                             return end;
                         }
                     }
-                    Ok(Incoming::End) | Err(_) => return End::Quiet,
+                    Ok(Incoming::End) | Err(_) => return End::Gone,
                 }
             }
         }
@@ -418,7 +427,7 @@
                 socket.link.let_go();
                 return true;
             }
-            if socket.link.rest().is_err() {
+            if socket.link.rest().is_err() || socket.link.is_left() {
                 return false;
             }
         }
@@ -426,10 +435,11 @@
 
     /// What a socket that was woken should do; `None` for going on.
     fn look(&self, socket: &FrontSocket) -> Option<End> {
-        if self.closing.load(Ordering::Acquire) && socket.between_requests() {
-            return Some(End::Quiet);
-        }
         let mut turns = locked(&socket.turns);
+        if self.closing.load(Ordering::Acquire) && turns.partial.is_none() {
+            turns.end();
+            return Some(End::Last);
+        }
         if turns.is_late() {
             return Some(End::Error("the command did not become whole"));
         }
@@ -443,11 +453,15 @@
     fn end(&self, socket: &FrontSocket, text: &str) {
         let turn = {
             let mut turns = locked(&socket.turns);
-            turns.ending = true;
-            turns.partial = None;
+            turns.end();
             turns.push()
         };
         self.answer(socket, turn, format!("-ERR {text}\r\n").into_bytes());
+        self.finish(socket);
+    }
+
+    /// Takes nothing more, has all that was taken answered, and then ends the socket so that no answer is lost.
+    fn finish(&self, socket: &FrontSocket) {
         // Read on for a while, to see the client leave; a client that sends without end is left to the system.
         let mut unread = Vec::new();
         for _ in 0..8 {
@@ -460,7 +474,7 @@
             }
         }
         while !locked(&socket.turns).turns.is_empty() {
-            if socket.link.rest().is_err() {
+            if socket.link.is_left() || socket.link.rest().is_err() {
                 return;
             }
         }
@@ -615,6 +629,13 @@
 }
 
 impl Turns {
+    /// From now on no command is taken.
+    fn end(&mut self) {
+        self.ending = true;
+        self.partial = None;
+        self.idle = Instant::now();
+    }
+
     /// A new turn at the end; returns its number.
     fn push(&mut self) -> u64 {
         self.turns.push_back(Turn::Waiting(None));
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -30,6 +30,8 @@
 /// Where all links read into before they keep what has come: a connection that waits for the rest of a command holds no more
 /// than it has sent. All links are read by one worker, so nobody waits for it.
 static SCRATCH: Mutex<[u8; 16 * 1024]> = Mutex::new([0; 16 * 1024]);
+/// The flag among the system's events (EPOLLRDHUP) that tells that the other side has ended its sending or has reset.
+const LEFT_EVENT: usize = 0x2000;
 /// Bytes that are taken in unread for a client that is told its end while it sends.
 const MOST_DISCARDED: usize = 256 * 1024;
 
@@ -108,11 +110,21 @@
         }
     }
 
-    fn wait_io(&self) {
+    /// Waits for an event; returns the system's flags of all that came since the last look.
+    fn wait_io(&self) -> usize {
         match self {
             Self::Made(stream) => stream.wait_io(),
             Self::Taken(stream) => stream.io().wait_io(),
-        };
+        }
+    }
+
+    /// The flags of events that came since the last look, without a wait.
+    #[allow(deprecated)] // It says that nobody needs to call it, but no other call looks without waiting.
+    fn events(&self) -> usize {
+        match self {
+            Self::Made(stream) => stream.reset_io(),
+            Self::Taken(stream) => stream.io().reset_io(),
+        }
     }
 
     fn waker(&self) -> WaitIoWaker {
@@ -133,6 +145,14 @@
     out: Mutex<Outgoing>,
     closed: AtomicBool,
     woken: AtomicBool,
+    /// The other side has ended its sending, or is gone: seen though bytes from before are unread.
+    left: AtomicBool,
+    /// The last read found nothing, so only an event can bring more.
+    dry: AtomicBool,
+    /// The worker has looked for events since this link was made.
+    looked: AtomicBool,
+    /// Why no more can be read: said once by the system, and kept for the next read.
+    broken: Mutex<Option<ErrorKind>>,
     /// Called when the socket has taken all that waited.
     drained: OnceLock<Box<dyn Fn() + Send + Sync>>,
     /// Reads in a row that did not have to wait.
@@ -186,12 +206,15 @@
     fn of(stream: Stream) -> Self {
         // Without it small answers wait for acknowledgements; where it fails they do, and nothing else is lost.
         let _ = stream.inner().set_nodelay(true);
-        let (closed, woken) = (AtomicBool::new(false), AtomicBool::new(false));
         Self {
             stream,
             out: Mutex::default(),
-            closed,
-            woken,
+            closed: AtomicBool::new(false),
+            woken: AtomicBool::new(false),
+            left: AtomicBool::new(false),
+            dry: AtomicBool::new(false),
+            looked: AtomicBool::new(false),
+            broken: Mutex::default(),
             drained: OnceLock::new(),
             streak: AtomicU32::new(0),
         }
@@ -256,9 +279,9 @@
         Ok(())
     }
 
-    /// Waits for bytes and appends them, at most `most` and 16 KiB; also sends what waits meanwhile. Only the link's own
-    /// coroutine calls this. Bytes that are here come before [`Incoming::Woken`], so whoever is told that knows that
-    /// nothing has come in unseen.
+    /// Waits for bytes and appends all that are here, at most `most` and 16 KiB; also sends what waits meanwhile. Only the
+    /// link's own coroutine calls this. Bytes that are here come before [`Incoming::Woken`], so whoever is told that knows
+    /// that nothing has come in unseen; and an end right behind them is seen with them ([`Link::is_left`]).
     ///
     /// # Errors
     ///
@@ -269,31 +292,89 @@
             sleep(REST);
         }
         loop {
+            self.note(self.stream.events());
             if self.is_closed() {
                 return Err(ErrorKind::NotConnected.into());
             }
             self.flush()?;
-            let read = {
-                let mut scratch = locked(&SCRATCH);
-                let room = most.min(scratch.len());
-                let read = self.stream.inner().read(&mut scratch[..room]);
-                buffer.extend_from_slice(&scratch[..*read.as_ref().unwrap_or(&0)]);
-                read
-            };
-            match read {
-                Ok(0) => return Ok(Incoming::End),
-                Ok(n) => return Ok(Incoming::Bytes(n)),
+            let woken = self.woken.swap(false, Ordering::AcqRel);
+            if woken || !self.dry.load(Ordering::Relaxed) {
+                let (read, end) = self.read(buffer, most)?;
+                // Of one that sends much at once an end far behind is known only once the worker has looked for events.
+                if read == most && !self.looked.swap(true, Ordering::Relaxed) {
+                    sleep(REST);
+                    self.note(self.stream.events());
+                }
+                if read > 0 {
+                    // Whoever woke it is told when nothing is left to read.
+                    self.woken.fetch_or(woken, Ordering::AcqRel);
+                    return Ok(Incoming::Bytes(read));
+                }
+                if end {
+                    return Ok(Incoming::End);
+                }
+                self.streak.store(0, Ordering::Relaxed);
+                if woken {
+                    return Ok(Incoming::Woken);
+                }
+            }
+            self.note(self.stream.wait_io());
+        }
+    }
+
+    /// Reads until nothing is here or there is no more room. Tells how much was read, and whether the end came behind it; an
+    /// error that came behind bytes is kept.
+    fn read(&self, buffer: &mut Vec<u8>, most: usize) -> io::Result<(usize, bool)> {
+        if self.is_left()
+            && let Some(kind) = locked(&self.broken).take()
+        {
+            return Err(kind.into());
+        }
+        let mut scratch = locked(&SCRATCH);
+        let most = most.min(scratch.len());
+        let mut total = 0;
+        while total < most {
+            match self.stream.inner().read(&mut scratch[..most - total]) {
+                Ok(0) => {
+                    self.left.store(true, Ordering::Relaxed);
+                    return Ok((total, true));
+                }
+                Ok(n) => {
+                    buffer.extend_from_slice(&scratch[..n]);
+                    total += n;
+                }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                    self.streak.store(0, Ordering::Relaxed);
-                    if self.woken.swap(false, Ordering::AcqRel) {
-                        return Ok(Incoming::Woken);
-                    }
-                    self.stream.wait_io();
+                    self.dry.store(true, Ordering::Relaxed);
+                    break;
                 }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) => return Err(e),
+                Err(e) => {
+                    self.left.store(true, Ordering::Relaxed);
+                    if total == 0 {
+                        return Err(e);
+                    }
+                    *locked(&self.broken) = Some(e.kind());
+                    break;
+                }
             }
         }
+        Ok((total, false))
+    }
+
+    /// Takes in the flags of events.
+    fn note(&self, events: usize) {
+        if events != 0 {
+            self.dry.store(false, Ordering::Relaxed);
+        }
+        if events & LEFT_EVENT != 0 {
+            self.left.store(true, Ordering::Relaxed);
+        }
+    }
+
+    /// Whether the other side has ended its sending or is gone, as far as the system has told: also where bytes that it sent
+    /// before are unread.
+    pub fn is_left(&self) -> bool {
+        self.left.load(Ordering::Relaxed)
     }
 
     /// Whether the socket holds bytes, an end or an error that nobody has read yet. Takes nothing.
@@ -310,7 +391,7 @@
     /// Waits for anything to happen on the link, without reading. Only the link's own coroutine calls this.
     pub fn wait(&self) {
         if !self.is_closed() && !self.woken.swap(false, Ordering::AcqRel) {
-            self.stream.wait_io();
+            self.note(self.stream.wait_io());
         }
     }
 
@@ -328,7 +409,7 @@
             if self.unsent() == 0 {
                 return Ok(());
             }
-            self.stream.wait_io();
+            self.note(self.stream.wait_io());
         }
     }
 
--- /dev/null
+++ b/crates/snowfield/tests/endings.rs
@@ -0,0 +1,168 @@
+//! The instants in which a connection or a program ends while something is still owed (docs/design/endings.md). What must
+//! cross is made to: a stopped program reads nothing, so all that was done meanwhile is there at once when it goes on.
+
+mod common;
+
+use common::*;
+use std::io::{BufRead, Read, Write};
+use std::net::Shutdown;
+use std::sync::Mutex;
+use std::sync::mpsc::{Sender, channel};
+use std::time::Instant;
+
+/// A destination that serves the first request after a word, and the others at once.
+fn first_waits()
+-> (std::net::SocketAddr, std::sync::mpsc::Receiver<Seen<Vec<String>>>, std::sync::mpsc::Sender<()>) {
+    let (release, word) = channel();
+    let word = Mutex::new(Some(word));
+    let (at, seen) = destination(command, move |words| {
+        let word = word.lock().expect("no stand-in panics").take();
+        word.map_or(Does::Say(value(&words[2])), |word| Does::SayAfter(word, value(&words[2])))
+    });
+    (at, seen, release)
+}
+
+/// Guards against work for nobody: a request and the end of its connection that come together were read one after the other,
+/// and the request was sent on in between. The same at once for many requests, behind errors that slow their reader down.
+#[test]
+fn what_a_client_sent_that_has_gone_since_is_not_begun() {
+    let (at, seen) = echo();
+    let site = site("gone", &Shape { destinations: &[at], ..Shape::default() });
+    let mut stays = Client::connect(site.listen);
+    stays.send(&query_by_another(1));
+    assert_eq!(stays.reply(), id(1));
+    asked(&seen);
+    let mut known = Client::connect(site.listen);
+    known.send(&words(&["PING"]));
+    assert_eq!(known.reply(), "+PONG");
+
+    site.program.signal("-STOP");
+    known.send(&query_by_another(100));
+    let mut new = Client::connect(site.listen);
+    new.send(&query_by_another(101));
+    let mut many = Client::connect(site.listen);
+    let much: Vec<u8> =
+        (200..400).flat_map(|number| [words(&["NONSENSE"]), query_by_another(number)].concat()).collect();
+    many.send(&much);
+    // An end of its sending is no different from a close, and one that resets has gone as well.
+    let mut half = Client::connect(site.listen);
+    half.send(&query_by_another(102));
+    half.writes.shutdown(Shutdown::Write).expect("it is open");
+    drop((known, new, many));
+    site.program.signal("-CONT");
+
+    // What came later is served, so what came before has been read.
+    for number in 2..=9 {
+        stays.send(&query_by_another(number));
+        assert_eq!(stays.reply(), id(number));
+    }
+    let begun: Vec<_> = all_asked(&seen).into_iter().map(|words| words[2].clone()).collect();
+    assert_eq!(begun, (2..=9).map(id).collect::<Vec<_>>(), "nothing for those who had gone");
+}
+
+/// Guards against work for nobody behind an error: its socket was not read any more, and so its client's end was not seen.
+#[test]
+fn a_client_that_leaves_after_an_error_ends_what_it_had_asked() {
+    let (at, seen) = destination(command, |_| Does::Nothing);
+    let site = site("after-error", &Shape { destinations: &[at], ..Shape::default() });
+    let mut client = Client::connect(site.listen);
+    // More behind the error than is read of it.
+    client.send(&[&query(1, 2_400, 1)[..], b"*x\r\n", &[b'x'; 100_000]].concat());
+    asked(&seen);
+    let begun = Instant::now();
+    drop(client);
+    assert!(matches!(next(&seen), Seen::GivenUp));
+    assert!(begun.elapsed().as_millis() < 1_000, "long before its deadline: {:?}", begun.elapsed());
+}
+
+/// What the next test waits for.
+enum Crossing {
+    /// A request is at the destination, which answers after this word.
+    Asked(Sender<()>),
+    Reply(String),
+    Ended,
+}
+
+/// Guards planned restarts: a client that always has one more request on its way was never found between two, and had some
+/// unanswered when the program was killed. What is taken is answered; the rest is surely unread.
+#[test]
+fn at_the_end_a_socket_that_is_never_idle_ends_with_its_answers() {
+    let (tell, crossings) = channel();
+    let asks = Mutex::new(tell.clone());
+    let (at, seen) = destination(command, move |words| {
+        let (release, word) = channel();
+        let _ = asks.lock().expect("no stand-in panics").send(Crossing::Asked(release));
+        Does::SayAfter(word, value(&words[2]))
+    });
+    let mut site = site("never-idle", &Shape { destinations: &[at], ..Shape::default() });
+    let Client { mut writes, mut reads } = Client::connect(site.listen);
+    let reader = std::thread::spawn(move || {
+        let mut line = String::new();
+        while reads.read_line(&mut line).is_ok_and(|n| n > 0) {
+            // A value has a line before it that tells its length.
+            if !line.starts_with('$') {
+                let _ = tell.send(Crossing::Reply(line.clone()));
+            }
+            line.clear();
+        }
+        let _ = tell.send(Crossing::Ended);
+    });
+    writes.write_all(&query_by_another(1)).expect("the program takes it");
+    let (mut sent, mut answered, mut terminated) = (1, 0, None);
+    loop {
+        match next(&crossings) {
+            Crossing::Asked(release) => {
+                // The next one is there before this one's answer.
+                sent += u32::from(writes.write_all(&query_by_another(sent + 1)).is_ok());
+                release.send(()).expect("the stand-in waits");
+            }
+            Crossing::Reply(reply) => {
+                answered += 1;
+                assert_eq!(reply, format!("{}\r\n", id(answered)));
+            }
+            Crossing::Ended => break,
+        }
+        if answered == 20 && terminated.is_none() {
+            site.program.terminate();
+            terminated = Some(Instant::now());
+        }
+    }
+    let ended = terminated.expect("it served until then").elapsed();
+    assert!(ended.as_millis() < 3_000, "before it may be killed, 3.2 s after the signal: {ended:?}");
+    assert_eq!(
+        all_asked(&seen).len() as u32,
+        answered,
+        "what was read was answered, and nothing else sent on"
+    );
+    assert!(sent > answered, "one crossed the close");
+    drop(writes);
+    reader.join().expect("no panic");
+    assert_eq!(site.program.wait(), Some(0));
+}
+
+/// Guards the answer before a close: bytes that come in the instant of the close would reset the connection and take away
+/// what its client has not read yet.
+#[test]
+fn at_the_end_bytes_that_cross_the_close_cost_no_answer() {
+    let (at, seen, release) = first_waits();
+    let mut site = site("crossing", &Shape { destinations: &[at], ..Shape::default() });
+    let mut client = Client::connect(site.listen);
+    client.send(&query(1, 2_500, 1));
+    asked(&seen);
+    site.program.terminate();
+    let mut idle = Client::connect(site.listen);
+    idle.send(&words(&["PING"]));
+    assert_eq!(idle.reply(), "+PONG");
+    assert!(idle.ended(), "closing has begun");
+    // Taken by nobody: the socket ends with the answer that is owed.
+    let much = [query_by_another(2), vec![b'x'; 200_000]].concat();
+    client.send(&much);
+    release.send(()).expect("the stand-in waits");
+    assert_eq!(client.reply(), id(1));
+    let mut rest = Vec::new();
+    client.reads.read_to_end(&mut rest).expect("an end and no reset");
+    assert!(rest.is_empty());
+    drop(client);
+    assert_eq!(site.program.wait(), Some(0));
+    assert!(all_asked(&seen).is_empty(), "what came after the close had begun is surely unread");
+}
