Hold repeats of a key to their window where they begin, and repeat only what has begun

Seen (tests/endings.rs): a repeat decided inside its window was written 0.2 s after it was over, when its connection came up late. And in the module's test a copy went out beside a first attempt that still waited for its connection, which could begin up to the connect time-out after the copy. Lines at fault: may_attempt compared the window with the time of the decision alone; run_connection wrote whenever the connection was there.

Change: Action::Send tells within which span an attempt has to begin, the exchange passes it on, and the destination side writes nothing later, nor after the connect time-out; a keyed class is repeated only when all that is out is older than that time-out, so that it has begun or never will. Safe classes are as before.

--- a/crates/destination/src/lib.rs
+++ b/crates/destination/src/lib.rs
@@ -332,8 +332,11 @@
             let ready = state.pools.get(&step.destination).is_some_and(|p| p.place.state == State::Ready)
                 && !state.held.contains(&step.destination);
             let wanted = state.busy.remove(&step.id).is_some();
+            // The module counts on it that what has not begun by then never will.
+            let late =
+                begun.elapsed() > connect || begun.elapsed().as_micros() as Micros >= step.begin_within;
             match &connection {
-                Ok(connection) if wanted && ready => {
+                Ok(connection) if wanted && ready && !late => {
                     state.busy.insert(step.id, Busy::On(connection.clone()));
                     None
                 }
--- a/crates/exchange/src/core.rs
+++ b/crates/exchange/src/core.rs
@@ -199,7 +199,9 @@
 
     fn carry_out(&mut self, now: Micros, action: Action) {
         match action {
-            Action::Send { id, backend, timeout } => self.send(now, id, backend, timeout),
+            Action::Send { id, backend, timeout, begin_within } => {
+                self.send(now, id, backend, timeout, begin_within);
+            }
             Action::Cancel { id, attempt } => {
                 self.end_step(now, StepId { operation: id, attempt }, Outcome::Cancelled);
             }
@@ -227,7 +229,14 @@
         }
     }
 
-    fn send(&mut self, now: Micros, id: OperationId, destination: u32, timeout: Micros) {
+    fn send(
+        &mut self,
+        now: Micros,
+        id: OperationId,
+        destination: u32,
+        timeout: Micros,
+        begin_within: Micros,
+    ) {
         let Some(entry) = self.operations.get_mut(&id) else { return };
         let attempt = entry.steps.len() as u8;
         let step = StepId { operation: id, attempt };
@@ -258,6 +267,7 @@
             id: step,
             destination,
             time_left,
+            begin_within,
             query: entry.query.clone(),
         }));
     }
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -61,6 +61,8 @@
     pub destination: u32,
     /// How long its answer is waited for.
     pub time_left: Micros,
+    /// Nothing of it may be written later than this span from now.
+    pub begin_within: Micros,
     /// What goes on.
     pub query: Arc<Q>,
 }
--- a/crates/snowfield/tests/common/site.rs
+++ b/crates/snowfield/tests/common/site.rs
@@ -69,8 +69,22 @@
 
 /// The same with more in its environment.
 pub fn site_with(test: &str, shape: &Shape<'_>, variables: &[(&str, &str)]) -> Site {
+    start(test, shape, variables, |text| text)
+}
+
+/// The same with another text of its configuration.
+pub fn site_of(test: &str, shape: &Shape<'_>, change: impl FnOnce(String) -> String) -> Site {
+    start(test, shape, &[], change)
+}
+
+fn start(
+    test: &str,
+    shape: &Shape<'_>,
+    variables: &[(&str, &str)],
+    change: impl FnOnce(String) -> String,
+) -> Site {
     let (agent, folder) = (agent(), Folder::new(test));
-    let path = folder.write("config.json", &config(agent.address, shape));
+    let path = folder.write("config.json", &change(config(agent.address, shape)));
     let variables = [&[("BALANCER_CONFIG", path.as_str())], variables].concat();
     let program = Program::start(&[], &variables);
     let operated = variables.iter().any(|(name, _)| *name == "BALANCER_OPERATOR");
--- a/crates/snowfield/tests/endings.rs
+++ b/crates/snowfield/tests/endings.rs
@@ -4,15 +4,15 @@
 mod common;
 
 use common::*;
+use socket2::{Domain, Socket, Type};
 use std::io::{BufRead, Read, Write};
-use std::net::Shutdown;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Mutex;
 use std::sync::mpsc::{Sender, channel};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// A destination that serves the first request after a word, and the others at once.
-fn first_waits()
--> (std::net::SocketAddr, std::sync::mpsc::Receiver<Seen<Vec<String>>>, std::sync::mpsc::Sender<()>) {
+fn first_waits() -> (SocketAddr, std::sync::mpsc::Receiver<Seen<Vec<String>>>, std::sync::mpsc::Sender<()>) {
     let (release, word) = channel();
     let word = Mutex::new(Some(word));
     let (at, seen) = destination(command, move |words| {
@@ -166,3 +166,61 @@
     assert_eq!(site.program.wait(), Some(0));
     assert!(all_asked(&seen).is_empty(), "what came after the close had begun is surely unread");
 }
+
+/// A listener that takes no more connections until it accepts: the system drops what would connect, and tries again after 1 s.
+fn crowded() -> (TcpListener, Vec<TcpStream>) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a free port");
+    socket.listen(0).expect("it listens");
+    let listener = TcpListener::from(socket);
+    let at = listener.local_addr().expect("an address");
+    let fill = || TcpStream::connect_timeout(&at, Duration::from_millis(100)).ok();
+    (listener, std::iter::from_fn(fill).take(10).collect())
+}
+
+/// Whether a connection to there waits for its first answer (state 2 in the system's table).
+fn is_connecting(to: SocketAddr) -> bool {
+    let remote = format!(" 0100007F:{:04X} 02 ", to.port());
+    std::fs::read_to_string("/proc/net/tcp").expect("the system's table").contains(&remote)
+}
+
+/// Guards the window of a key on the wire: a repeat was decided inside it and written when its connection came up, 0.2 s after it
+/// was over.
+#[test]
+fn a_keyed_repeat_whose_connection_comes_up_too_late_is_not_written() {
+    let (release, word) = channel::<()>();
+    let word = Mutex::new(word);
+    let (breaks, broken) = destination(command, move |_| {
+        let _ = word.lock().expect("no stand-in panics").recv();
+        Does::Close
+    });
+    let (late, filled) = crowded();
+    let site = site_of("keyed", &Shape { destinations: &[breaks], ..Shape::default() }, |text| {
+        text.replace(r#""effect":"read_like""#, r#""effect":"idempotency_key","key-ttl-us":800000"#)
+            .replace(r#""connect-timeout-us":250000"#, r#""connect-timeout-us":2000000"#)
+    });
+    let mut client = Client::connect(site.listen);
+    let fields = "c=lookup,t=team,d=2400,k=5c0f6e1a2b3d4c59,units=1,spread=1,first=0";
+    client.send(&words(&["SVC.SUBMIT", "00000000b4d65521", &id(1), fields, "body"]));
+    asked(&broken);
+    // The only place for a repeat; the state of the other is one that is logged, which tells when the list was read.
+    let at = late.local_addr().expect("an address");
+    let hosts = [host("s-late", at, "up"), host("s-odd", nobody(), "odd")];
+    site.watch.send(list(41, false, &hosts)).expect("the watch is open");
+    site.program.line("unknown state");
+    release.send(()).expect("the stand-in waits");
+    let begun = Instant::now();
+    while !is_connecting(at) {
+        assert!(begun.elapsed() < LONG, "the repeat is tried");
+    }
+    // All who stand in its way are let in, and so is the repeat's connection when the system tries it again.
+    let mut connections: Vec<TcpStream> = Vec::new();
+    while connections.len() <= filled.len() {
+        connections.push(late.accept().expect("a connection").0);
+    }
+    let mut repeat = connections.pop().expect("the last one");
+    let mut written = Vec::new();
+    repeat.read_to_end(&mut written).expect("it ends");
+    assert!(written.is_empty(), "written too late: {}", String::from_utf8_lossy(&written));
+    assert!(client.reply().starts_with('-'), "no attempt is left");
+}
--- a/src/bin/dewproxy-drill/frame.rs
+++ b/src/bin/dewproxy-drill/frame.rs
@@ -233,7 +233,7 @@
         // A time-out is signed on the wire.
         let timeout = |t: u64| (t.min(i32::MAX as u64) as u32).to_be_bytes();
         match action {
-            Action::Send { id, backend, timeout: t } => {
+            Action::Send { id, backend, timeout: t, .. } => {
                 self.record(1040, gateway, &[&id.to_be_bytes(), &timeout(*t), &backend.to_be_bytes()]);
             }
             Action::Cancel { id, attempt } => self.record(1050, gateway, &[&id.to_be_bytes(), &[*attempt]]),
@@ -410,7 +410,10 @@
     #[test]
     fn actions_match_the_frames_of_the_wire_page() {
         let mut reply = Reply::default();
-        reply.push(3, &Action::Send { id: 0x5d3a_91c4, backend: 0x0312_4a07, timeout: 80_000 });
+        reply.push(
+            3,
+            &Action::Send { id: 0x5d3a_91c4, backend: 0x0312_4a07, timeout: 80_000, begin_within: 9 },
+        );
         reply.push(3, &Action::Timer { after: 500_000, token: 77 });
         reply.push(5, &Action::Log("two servers known".into()));
         let hex: String = reply.into_bytes(12).iter().map(|b| format!("{b:02x}")).collect();
--- a/src/control.rs
+++ b/src/control.rs
@@ -829,12 +829,24 @@
             Effect::Safe => true,
             Effect::Unsafe => false,
             Effect::Keyed => {
-                let life = (class.key_ttl as f64 * (1.0 - KEY_MARGIN)) as Micros;
-                self.group_of(r.class, b) == ran.group && self.now < ran.sent + life
+                // One that is out may yet wait for its connection, and would then be the later one.
+                let wait = self.s.connect_timeout + self.s.tick;
+                let begun = |a: &Attempt| a.outcome.is_some() || self.now >= a.sent + wait;
+                let in_time = self.now < self.begin_by(r) && r.attempts.iter().all(begun);
+                in_time && self.group_of(r.class, b) == ran.group
             }
         }
     }
 
+    /// By when a further attempt has to begin: repeats of a key are dropped for a while from the first that may
+    /// have run.
+    fn begin_by(&self, r: &Request) -> Micros {
+        let class = &self.s.classes[r.class];
+        let life = (class.key_ttl as f64 * (1.0 - KEY_MARGIN)) as Micros;
+        let first = r.attempts.iter().find(|a| a.may_have_run()).filter(|_| class.effect == Effect::Keyed);
+        first.map_or(Micros::MAX, |a| a.sent.saturating_add(life))
+    }
+
     /// Whether a refusal, which says that trying again is harmless, would be true.
     fn may_refuse(&self, r: &Request) -> bool {
         let class = &self.s.classes[r.class];
@@ -845,7 +857,8 @@
 
     fn send(&mut self, id: u32, backend: u32, out: &mut Actions) {
         let (now, pause) = (self.now, self.sick_pause());
-        let Some(class) = self.requests.get(&id).map(|r| r.class) else { return };
+        let open = self.requests.get(&id).map(|r| (r.class, self.begin_by(r).saturating_sub(now)));
+        let Some((class, begin_within)) = open else { return };
         let Some(group) = self.backends.get(&backend).map(|b| self.group_of(class, b)) else { return };
         let Some(r) = self.requests.get_mut(&id) else { return };
         let Some(b) = self.backends.get_mut(&backend) else { return };
@@ -862,7 +875,7 @@
         }
         self.customers.entry(r.customer).and_modify(|c| c.open += 1);
         let class = &self.s.classes[class];
-        out.push(Action::Send { id, backend, timeout: class.attempt_timeout });
+        out.push(Action::Send { id, backend, timeout: class.attempt_timeout, begin_within });
         let part = (class.aim as f64 * COPY_PART) as Micros;
         let after = if class.copy_after > 0 { class.copy_after } else { part };
         let token = TOKEN_COPY | u64::from(attempt) << 32 | u64::from(id);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -542,6 +542,8 @@
         backend: u32,
         /// Give up after this span; 0 for when the client does.
         timeout: Micros,
+        /// Send nothing where its connection is not there within this span: a repeat would no longer be dropped.
+        begin_within: Micros,
     },
     /// Stop waiting for an attempt.
     Cancel {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -1115,3 +1115,32 @@
     let out = bench.feed(request(2, 1, 1.0));
     assert!(out.iter().any(|a| matches!(a, Action::Send { timeout: 0, .. })));
 }
+
+/// Guards the window of a key: a repeat was decided inside it and begun outside, when its connection came up late; and one
+/// that still waited for its connection could begin long after its copy.
+#[test]
+fn a_keyed_repeat_has_to_begin_inside_its_window_and_only_what_has_begun_is_repeated() {
+    let within = |out: &[Action]| {
+        out.iter()
+            .find_map(|a| if let Action::Send { begin_within, .. } = a { Some(*begin_within) } else { None })
+    };
+    for connect_timeout in [100 * MS, 300 * MS] {
+        let mut b = Bench::new(Settings { connect_timeout, ..settings() }, &backends(8));
+        let first = b.request(1, 1, 1.0);
+        assert!(within(&first).expect("it is sent") > SECOND, "nothing has run that it could repeat");
+        // The time of its copy comes: it is out for 200 ms.
+        b.now += 200 * MS;
+        let token = first.iter().find_map(|a| match a {
+            Action::Timer { after, token } if *after == 200 * MS => Some(*token),
+            _ => None,
+        });
+        let copy = b.feed(Event::Timer { token: token.expect("a time for its copy") });
+        // 85 in 100 of the window of 500 ms count from the first, of which 200 are over.
+        let expected = (connect_timeout < 200 * MS).then_some(225 * MS);
+        assert_eq!(within(&copy), expected, "connections within {connect_timeout} us");
+    }
+    let mut b = Bench::new(settings(), &backends(8));
+    let at = sends(&b.request(1, 1, 1.0))[0];
+    b.now += 100 * MS;
+    assert_eq!(within(&b.end(1, 0, at, Outcome::Reset)), Some(325 * MS));
+}
