--- a/src/control.rs
+++ b/src/control.rs
@@ -838,8 +838,8 @@
         }
     }
 
-    /// By when a further attempt has to begin: repeats of a key are dropped for a while from the first that may
-    /// have run.
+    /// By when a further attempt has to begin: repeats of a key are dropped for a while from the first that
+    /// may have run.
     fn begin_by(&self, r: &Request) -> Micros {
         let class = &self.s.classes[r.class];
         let life = (class.key_ttl as f64 * (1.0 - KEY_MARGIN)) as Micros;
