Know at once that all loan servers are silent: for up to 0.2 s nothing had been let in

Ruled out: a connection that failed (no attempt was made), the store, a hold. Cause: look_for_silence marks a backend every 20 ms, but whether most are marked, so that none is left out, was looked at every 200 ms (look_at_fleet); a take-over in between carried the mark alone. The same gap stands in any one program.

Change: it is looked at when a mark is set, too. The test fails without it (tried).

--- a/src/control.rs
+++ b/src/control.rs
@@ -722,7 +722,7 @@
     /// A backend that swallows work is found by the age of what is out there with no answer since: of any
     /// class, or of this one alone, since a backend may fail one class and serve the others.
     fn look_for_silence(&mut self) {
-        let (now, trial) = (self.now, self.now + self.sick_pause());
+        let (now, trial, mut found) = (self.now, self.now + self.sick_pause(), false);
         for r in self.requests.values() {
             let patience = (self.s.classes[r.class].aim as f64 * SICK_PART) as Micros;
             for a in r.attempts.iter().filter(|a| a.outcome.is_none() && now - a.sent > patience) {
@@ -730,10 +730,22 @@
                 let all = b.answered < a.sent;
                 for (i, h) in b.health.iter_mut().enumerate() {
                     let silent = h.answered < a.sent && (all || i == r.class);
+                    found |= silent && h.sick.is_none();
                     h.sick = h.sick.or(silent.then_some(trial));
                 }
             }
         }
+        // At once: until it is known that all are silent, nothing would be let in.
+        for service in (0..self.fleets.len() as u16).filter(|_| found) {
+            self.turn_to(service);
+            self.look_whether_shared();
+        }
+    }
+
+    /// When most are sick at once the cause is shared, and none is left out.
+    fn look_whether_shared(&mut self) {
+        let sick = self.ready_backends().filter(|b| b.is_sick()).count();
+        self.fleet.sickness_is_shared = sick * 2 > self.fleet.ready.len();
     }
 
     /// us; how long this gateway leaves a sick backend alone, so that all together try it now and then.
@@ -1027,9 +1039,7 @@
                 b.sent *= fades;
             });
         }
-        // When most are sick at once the cause is shared, and none is left out.
-        let sick = self.ready_backends().filter(|b| b.is_sick()).count();
-        self.fleet.sickness_is_shared = sick * 2 > self.fleet.ready.len();
+        self.look_whether_shared();
         // Idle for that long its names have expired and its store is full: nothing is lost with it.
         self.customers.retain(|_, c| c.call.is_some() || c.open > 0 || now < c.at + 3 * EPOCH);
     }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -538,6 +538,26 @@
     assert!(!sends(&b.request(9, 0, 1.0)).is_empty(), "a shared cause left nothing to send to");
 }
 
+/// Seen at an upgrade: the only backend had just been marked, and for up to 0.2 s, until that was looked at, all were refused.
+#[test]
+fn that_all_backends_are_silent_is_known_with_the_last_one_of_them() {
+    for phase in 0..10 {
+        let plans = vec![Plan::default()];
+        let mut b = Bench::new(Settings { plans, ..settings() }, &backends(2));
+        b.tick_until((1 + phase) * 20 * MS);
+        b.request(0, 0, 1.0);
+        b.request(1, 0, 1.0);
+        for id in 2..30 {
+            let out = b.tick_until(b.now + 20 * MS);
+            assert!(!refused(&out), "{out:?}");
+            let out = b.request(id, 0, 1.0);
+            let left_out = |a: &Action| matches!(a, Action::Refuse { why: Refusal::NoBackend, .. });
+            assert!(!out.iter().any(left_out), "phase {phase}, request {id}");
+            sends(&out).into_iter().for_each(|at| drop(b.end(id, 0, at, Outcome::Moot)));
+        }
+    }
+}
+
 #[test]
 fn a_jam_at_the_start_when_hundreds_of_gateways_know_nothing() {
     // Each of 300 gateways is asked for 20 requests and nothing is answered yet. A place each at each of 100
