Bound what all clients together have the front hold, and give each its turn

Seen (tests/floods.rs): 400 clients that stopped half way through a body of 64 kB had the program hold 45 MB of its 48; one client whose first request waits had 45 MB held in answers behind it within a second, 64 kB for each of 1,024 turns; with a hundred clients that send nothing but PING a usual request failed, as each of them took 16 reads of hundreds of commands before the next had its turn. Checked: buffers, the table of operations, turns and unread bytes each had a bound for one socket, none for all together.

Change: what is held for half requests (an eighth of the memory), whole ones with answers in line (a quarter) and answers that clients have not taken (an eighth) is counted over all sockets. Beyond the first the request that has been half sent for longest ends with an error, beyond the second new ones get the busy reply, beyond the third who takes nothing is cut off. More than 16 commands at once cost a pause of 1 ms.

Each test fails without it.

--- a/crates/front_resp/src/lib.rs
+++ b/crates/front_resp/src/lib.rs
@@ -4,9 +4,11 @@
 //! decision is made here. What cannot be used gets an error in its turn; what cannot be told apart any more also ends
 //! the socket, once all that came before it has its answer.
 
+mod held;
 mod requests;
 
 use exchange::{Exchange, FinalAnswer, Operation, OperationId, StreamOut, Taken, Value};
+use held::{Held, Holding};
 use link::{Door, Incoming, Link, locked, sleep, spawn};
 use resp::{Malformed, Query};
 use std::collections::{BTreeMap, HashSet, VecDeque};
@@ -25,8 +27,20 @@
 const MOST_TURNS: usize = 1024;
 /// Bytes of an answer that goes on which wait for the socket at the most, before another piece of it.
 const PIECE: usize = 16 * 1024;
-/// Bytes of answers that a client may leave unread before it is cut off.
+/// Bytes of answers that a client may leave unread before it is cut off, and where all clients hold too much together.
 const MOST_UNREAD: usize = 256 * 1024;
+const LEAST_UNREAD: usize = 16 * 1024;
+/// Parts of the memory: for what is read of requests that are not whole, for whole ones with the answers that wait for their
+/// turn, and for answers that clients have not taken.
+const HALF_PART: usize = 8;
+const WHOLE_PART: usize = 4;
+const UNREAD_PART: usize = 8;
+/// Bytes of a request that is not whole which may always be held: any usual one fits in.
+const USUAL: usize = 16 * 1024;
+/// Clients send one command at a time. One that sends more than this at once gets its next turn after all others.
+const AT_ONCE: usize = 16;
+/// How long that takes.
+const TURN: Duration = Duration::from_millis(1);
 /// A front socket without a request may be closed after this (the protocol); one that never sent any of use is.
 const QUIET: Duration = Duration::from_secs(2);
 /// A command must be whole this long after it began: a head may take a client 2 s. With the time between two sweeps, what is
@@ -52,6 +66,11 @@
     exchange: Arc<RespExchange>,
     rules: Mutex<Arc<Rules>>,
     most: Box<dyn Fn() -> usize + Send + Sync>,
+    /// Bytes of requests that are not whole, of whole ones with the answers that wait for their turn, and of answers that clients
+    /// have not taken.
+    half: Arc<Held>,
+    whole: Arc<Held>,
+    unread: Arc<Held>,
     ready: AtomicBool,
     closing: AtomicBool,
     /// Where front sockets go on once they are between requests, while nothing is let in here.
@@ -87,6 +106,8 @@
     waiting: usize,
     /// Since when a command is not whole.
     partial: Option<Instant>,
+    /// Bytes of it.
+    held_half: usize,
     /// Since when no command waits for its turn.
     idle: Instant,
     /// A command has come that can be used.
@@ -97,11 +118,18 @@
     ending: bool,
     /// Room is needed: it ends if it is idle.
     unwanted: bool,
+    /// Bytes of answers that wait for the client, when it was last looked at.
+    unread: Holding,
+    /// Room is needed for others' requests: this one has been half sent for longest.
+    too_large: bool,
 }
 
 enum Turn {
     Waiting(Option<OperationId>),
-    Answered(Vec<u8>),
+    Answered {
+        bytes: Vec<u8>,
+        _held: Holding,
+    },
     /// An answer that is passed on as it comes.
     Passing(StreamOut),
 }
@@ -117,6 +145,8 @@
 struct OpenId {
     front: Arc<Front>,
     id: Vec<u8>,
+    /// The bytes of its request.
+    _held: Holding,
 }
 
 impl Drop for OpenId {
@@ -126,17 +156,20 @@
 }
 
 impl FrontSocket {
-    fn new(link: Link) -> Arc<Self> {
+    fn new(link: Link, unread: Holding) -> Arc<Self> {
         let turns = Turns {
             first: 0,
             turns: VecDeque::new(),
             waiting: 0,
             partial: None,
+            held_half: 0,
             idle: Instant::now(),
             spoken: false,
             used: false,
             ending: false,
             unwanted: false,
+            unread,
+            too_large: false,
         };
         Arc::new(Self { link, turns: Mutex::new(turns) })
     }
@@ -189,16 +222,28 @@
 }
 
 impl Front {
-    /// A front that takes at most as many sockets as `most` allows at the time.
+    /// A front that takes at most as many sockets as `most` allows at the time, in a process that may hold `memory` bytes.
     pub fn new(
         exchange: Arc<RespExchange>,
         rules: Rules,
+        memory: usize,
         most: impl Fn() -> usize + Send + Sync + 'static,
     ) -> Arc<Self> {
-        let (ready, closing, frozen) = Default::default();
         let (most, rules) = (Box::new(most), Mutex::new(Arc::new(rules)));
-        let (sockets, open_ids, heir) = Default::default();
-        Arc::new(Self { exchange, rules, most, ready, closing, heir, frozen, sockets, open_ids })
+        Arc::new(Self {
+            exchange,
+            rules,
+            most,
+            half: Held::new(memory / HALF_PART),
+            whole: Held::new(memory / WHOLE_PART),
+            unread: Held::new(memory / UNREAD_PART),
+            ready: AtomicBool::new(false),
+            closing: AtomicBool::new(false),
+            heir: Mutex::default(),
+            frozen: AtomicBool::new(false),
+            sockets: Mutex::default(),
+            open_ids: Mutex::default(),
+        })
     }
 
     /// Holds requests to other rules from now on.
@@ -232,7 +277,7 @@
     }
 
     fn admit(self: &Arc<Self>, link: Link, begun: Vec<u8>) -> Arc<FrontSocket> {
-        let socket = FrontSocket::new(link);
+        let socket = FrontSocket::new(link, Holding::of(&self.unread));
         let number = {
             let mut sockets = locked(&self.sockets);
             sockets.next += 1;
@@ -288,13 +333,17 @@
     /// Ends what says nothing, is never whole or does not leave, and keeps some room; call it a few times a second.
     pub fn sweep(&self) {
         let sockets = self.open_sockets();
+        let crowded = self.unread.is_over();
         for socket in &sockets {
             let (stale, over) = {
-                let turns = locked(&socket.turns);
+                let mut turns = locked(&socket.turns);
+                let unread = socket.link.unsent();
+                let stuck = crowded && unread > LEAST_UNREAD && unread >= turns.unread.bytes();
+                turns.unread.set(unread);
                 let half = turns.is_late();
                 let silent = !turns.spoken && turns.idle_for().is_some_and(|idle| idle >= QUIET);
                 let over = turns.ending && turns.turns.is_empty() && turns.idle.elapsed() >= LINGER;
-                (half || silent || turns.ending, over)
+                (half || silent || turns.ending, over || stuck)
             };
             if over {
                 socket.link.close();
@@ -358,6 +407,7 @@
     /// Reads and takes commands, `begun` first; returns how the socket ends.
     fn read(self: &Arc<Self>, socket: &Arc<FrontSocket>, begun: Vec<u8>) -> End {
         let mut buffer = begun;
+        let mut half = Holding::of(&self.half);
         loop {
             if self.frozen.load(Ordering::Acquire) && self.hand_on(socket, &mut buffer) {
                 return End::PassedOn;
@@ -366,13 +416,14 @@
             if socket.link.is_left() {
                 return End::Gone;
             }
-            let (mut at, mut errors) = (0, false);
+            let (mut at, mut errors, mut commands) = (0, false, 0);
             while !self.frozen.load(Ordering::Acquire) {
                 match resp::command(&buffer, at) {
                     Ok(Some(command)) => {
                         let words: Vec<_> = command.words.iter().map(|w| w.start - at..w.end - at).collect();
                         errors |= !self.take(socket, &buffer[at..command.end], &words);
                         at = command.end;
+                        commands += 1;
                     }
                     Ok(None) => break,
                     // What follows cannot be told apart any more.
@@ -387,6 +438,7 @@
                 let mut turns = locked(&socket.turns);
                 let since = turns.partial.filter(|_| at == 0).unwrap_or_else(Instant::now);
                 turns.partial = (!buffer.is_empty()).then_some(since);
+                turns.held_half = buffer.len();
                 if turns.turns.len() > MOST_TURNS {
                     return End::Error("too many commands at once");
                 }
@@ -396,8 +448,21 @@
                     return End::Last;
                 }
             }
+            half.set(buffer.len());
             if errors {
                 sleep(PENALTY);
+            } else if commands > AT_ONCE {
+                sleep(TURN);
+            }
+            if buffer.len() >= USUAL && self.half.is_over() {
+                self.make_room_for_half();
+                let waits = |turns: &Turns| !turns.too_large && !turns.is_late();
+                while self.half.is_over() && waits(&locked(&socket.turns)) && !socket.link.is_closed() {
+                    sleep(LOOK);
+                }
+            }
+            if locked(&socket.turns).too_large {
+                return End::Error("no room for so long a command");
             }
             loop {
                 match socket.link.receive(&mut buffer, READ) {
@@ -415,6 +480,20 @@
         }
     }
 
+    /// Has the socket end whose request has been half sent for longest, among those that hold much.
+    fn make_room_for_half(&self) {
+        let since = |socket: &Arc<FrontSocket>| {
+            let turns = locked(&socket.turns);
+            turns.partial.filter(|_| turns.held_half >= USUAL && !turns.too_large)
+        };
+        let sockets = self.open_sockets();
+        let oldest = sockets.iter().filter_map(|s| Some((since(s)?, s))).min_by_key(|(since, _)| *since);
+        if let Some((_, socket)) = oldest {
+            locked(&socket.turns).too_large = true;
+            socket.link.wake();
+        }
+    }
+
     /// Waits until all that was taken here has its answer, then passes the connection on. What a client sends meanwhile stays
     /// unread for whoever goes on. Tells whether it is passed on; it is not where the front reads on, or the client left.
     fn hand_on(&self, socket: &FrontSocket, buffer: &mut Vec<u8>) -> bool {
@@ -443,6 +522,9 @@
         if turns.is_late() {
             return Some(End::Error("the command did not become whole"));
         }
+        if turns.too_large {
+            return Some(End::Error("no room for so long a command"));
+        }
         let unwanted = std::mem::take(&mut turns.unwanted) && turns.makes_room().is_some();
         let silent = !turns.spoken && turns.idle_for().is_some_and(|idle| idle >= QUIET);
         ((unwanted || silent) && socket.link.unsent() == 0).then_some(End::Quiet)
@@ -490,7 +572,7 @@
     ) -> bool {
         let (turn, crowded) = {
             let mut turns = locked(&socket.turns);
-            (turns.push(), turns.waiting >= MOST_WAITING)
+            (turns.push(), turns.waiting >= MOST_WAITING || self.whole.is_over())
         };
         let ask = self.ask(raw, words);
         {
@@ -533,7 +615,8 @@
 
     /// Keeps an answer for its turn, and writes those whose turn has come.
     fn answer(&self, socket: &FrontSocket, turn: u64, bytes: Vec<u8>) {
-        socket.fill(turn, Turn::Answered(bytes));
+        let _held = Holding::new(&self.whole, bytes.len());
+        socket.fill(turn, Turn::Answered { bytes, _held });
         self.write(socket);
     }
 
@@ -560,8 +643,8 @@
         let mut broken = false;
         loop {
             match turns.turns.front_mut() {
-                Some(Turn::Answered(bytes)) if whole.is_empty() => whole = std::mem::take(bytes),
-                Some(Turn::Answered(bytes)) => whole.extend_from_slice(bytes),
+                Some(Turn::Answered { bytes, .. }) if whole.is_empty() => whole = std::mem::take(bytes),
+                Some(Turn::Answered { bytes, .. }) => whole.extend_from_slice(bytes),
                 // What waits for the socket goes first; it is written on when that is gone.
                 Some(Turn::Passing(_)) if whole.len() + socket.link.unsent() >= PIECE => break,
                 Some(Turn::Passing(stream)) => match stream.take(PIECE) {
@@ -593,13 +676,17 @@
         }
         // Sent before the turns are free, so that no later answer overtakes.
         let sent = socket.link.send(&whole);
+        let unread = socket.link.unsent();
+        let before = turns.unread.bytes();
+        turns.unread.set(unread);
         let mut waits_for_this = self.closing.load(Ordering::Acquire) || self.frozen.load(Ordering::Acquire);
         if turns.turns.is_empty() {
             turns.idle = Instant::now();
             waits_for_this |= turns.ending;
         }
         drop(turns);
-        if sent.is_err() || socket.link.unsent() > MOST_UNREAD {
+        let crowded = before > 0 && unread > LEAST_UNREAD && self.unread.is_over();
+        if sent.is_err() || unread > MOST_UNREAD || crowded {
             socket.link.close();
         } else if waits_for_this {
             socket.link.wake();
@@ -624,7 +711,10 @@
         if !locked(&self.open_ids).insert(id.clone()) {
             return Ask::Error("the id is that of an open request");
         }
-        Ask::Submit(operation, OpenId { front: self.clone(), id })
+        Ask::Submit(
+            operation,
+            OpenId { front: self.clone(), id, _held: Holding::new(&self.whole, raw.len()) },
+        )
     }
 }
 
--- a/crates/snowfield/src/platform.rs
+++ b/crates/snowfield/src/platform.rs
@@ -259,7 +259,7 @@
     // Route steps take few connections, clients hold on to many: a front socket may use any descriptor that no route step
     // uses, but for some that stay free for these.
     let (room, kept) = (pools.clone(), sockets / 6);
-    let front = Front::new(exchange.clone(), rules, move || {
+    let front = Front::new(exchange.clone(), rules, config.memory, move || {
         // Some callers always find a descriptor; the others wait until a client's has become free.
         let callers = callers.as_ref().map_or(0, |c| (c.count() + MORE_CALLERS).min(door::MOST_CALLERS));
         sockets.saturating_sub(kept.max(room.open() + kept / 6) + callers)
--- /dev/null
+++ b/crates/snowfield/tests/floods.rs
@@ -0,0 +1,101 @@
+//! Clients by the hundred that send much: a process that holds more than its limit is killed, and everybody's requests with it.
+
+mod common;
+
+use common::*;
+use std::io::Write;
+use std::time::Duration;
+
+/// KiB; what a flood may add to what its clients' connections hold: the parts of the memory that a front gives to requests and
+/// their answers, 18 of 48 MiB, and 3 for what is on its way beside them.
+const MOST_KB: u64 = 21 * 1024;
+
+fn small_site(test: &str, destinations: &[std::net::SocketAddr]) -> Site {
+    let shape = Shape { destinations, sockets: 640, ..Shape::default() };
+    site_of(test, &shape, |text| {
+        text.replace(r#""memory_mb":192"#, r#""memory_mb":48"#).replace("read_like", "non_idempotent")
+    })
+}
+
+/// A request with a body of so many bytes, by a customer of its own.
+fn with_body(number: u32, body: usize) -> Vec<u8> {
+    let fields = "c=lookup,t=team,d=2400,units=1,spread=1,first=0";
+    words(&["SVC.SUBMIT", &id(number), &id(number), fields, &"x".repeat(body)])
+}
+
+/// What a usual client hears, and what the process holds then.
+fn usual(site: &Site, number: u32) -> (String, u64) {
+    let mut client = Client::connect(site.listen);
+    client.send(&with_body(number, 10));
+    (client.reply(), site.program.memory_kb())
+}
+
+/// Clients that have each had a request answered, and what the process holds with them.
+fn crowd(site: &Site, many: u32) -> (Vec<Client>, u64) {
+    let crowd = (0..many).map(|number| {
+        let mut client = Client::connect(site.listen);
+        client.send(&with_body(0x10_0000 + number, 10));
+        client.reply();
+        client.writes.set_write_timeout(Some(Duration::from_millis(50))).expect("it can be set");
+        client
+    });
+    (crowd.collect(), site.program.memory_kb())
+}
+
+/// Seen: 400 clients that stopped half way through a body of 64 kB had the program hold 45 MB of its 48.
+#[test]
+fn half_requests_of_many_clients_stay_within_memory() {
+    let (at, _seen) = echo();
+    let site = small_site("half-flood", &[at]);
+    let (mut crowd, before) = crowd(&site, 400);
+    for (client, number) in crowd.iter_mut().zip(1_000..) {
+        let _ = client.writes.write_all(&with_body(number, 65_000)[..64_000]);
+    }
+    let (reply, held) = usual(&site, 1);
+    assert_eq!(reply, id(1), "others are served");
+    assert!(held < before + MOST_KB, "{before} and then {held} KiB");
+}
+
+/// Answers that wait for their turn behind the first, which has none: one client alone could have 60 MB held, a thousand answers of
+/// the longest kind. Beyond the bound further requests are told to come back.
+#[test]
+fn answers_in_line_behind_the_first_stay_within_memory() {
+    let (at, seen) = destination(command, |words| match words[2] == id(1) {
+        true => Does::Nothing,
+        false => Does::Say(value(&"v".repeat(60_000))),
+    });
+    let site = small_site("in-line", &[at]);
+    let (mut crowd, before) = crowd(&site, 2);
+    all_asked(&seen);
+    let client = &mut crowd[0];
+    client.send(&with_body(1, 10));
+    let mut served = 0;
+    // Each is at its destination before the next one is sent, until one is not sent on.
+    while served < 700 {
+        client.send(&with_body(2 + served, 10));
+        let sent_on = std::iter::from_fn(|| seen.recv_timeout(Duration::from_millis(500)).ok());
+        if !sent_on.into_iter().any(|what| matches!(what, Seen::Asked(_))) {
+            break;
+        }
+        served += 1;
+    }
+    let held = site.program.memory_kb();
+    assert!(held < before + MOST_KB, "{before} and then {held} KiB with {served} answers");
+    assert!(served > 100, "{served}: answers of many clients fit in");
+}
+
+/// Guards others' turns as well: a client that always has hundreds of commands to read took so long for each of its turns that
+/// with a hundred such clients a usual one had no answer in time.
+#[test]
+fn answers_that_many_clients_leave_unread_stay_within_memory_and_others_are_served() {
+    let (at, _seen) = echo();
+    let site = small_site("unread-flood", &[at]);
+    let (mut crowd, before) = crowd(&site, 100);
+    let pings = words(&["PING"]).repeat(400_000);
+    for client in &mut crowd {
+        let _ = client.writes.write_all(&pings);
+    }
+    let (reply, held) = usual(&site, 1);
+    assert_eq!(reply, id(1), "others are served");
+    assert!(held < before + MOST_KB, "{before} and then {held} KiB");
+}
