--- a/crates/snowfield/tests/common/mod.rs
+++ b/crates/snowfield/tests/common/mod.rs
@@ -30,8 +30,17 @@
 
 impl Program {
     pub fn start(arguments: &[&str], variables: &[(&str, &str)]) -> Self {
-        let mut child = Command::new(env!("CARGO_BIN_EXE_snowfield"))
-            .args(arguments)
+        Self::run(Command::new(env!("CARGO_BIN_EXE_snowfield")).args(arguments), variables)
+    }
+
+    /// The same with so many descriptors and no more.
+    pub fn start_with(descriptors: u32, variables: &[(&str, &str)]) -> Self {
+        let shell = format!("ulimit -n {descriptors}; exec {}", env!("CARGO_BIN_EXE_snowfield"));
+        Self::run(Command::new("sh").args(["-c", &shell]), variables)
+    }
+
+    fn run(command: &mut Command, variables: &[(&str, &str)]) -> Self {
+        let mut child = command
             .envs(variables.iter().copied())
             .stdout(Stdio::piped())
             .spawn()
@@ -78,6 +87,14 @@
         line.trim().trim_end_matches("kB").trim().parse().expect("a number")
     }
 
+    /// Processor time that it has used, in ticks of the system's clock (10 ms).
+    pub fn processor_ticks(&self) -> u64 {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).expect("it runs");
+        // Behind the name, which stands in brackets: user and system time are the 12th and 13th.
+        let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+        fields[11..13].iter().map(|f| f.parse::<u64>().expect("a number")).sum()
+    }
+
     /// The exit code.
     pub fn wait(&mut self) -> Option<i32> {
         self.child.wait().expect("it was started").code()
--- a/crates/snowfield/tests/floods.rs
+++ b/crates/snowfield/tests/floods.rs
@@ -99,3 +99,57 @@
     assert_eq!(reply, id(1), "others are served");
     assert!(held < before + MOST_KB, "{before} and then {held} KiB");
 }
+
+/// Guards what is reserved: idle clients may take every descriptor that is left while discovery is down. Discovery, the counter and
+/// the loan servers still get theirs, those who wait at the door cost no work, and all are served when it returns.
+#[test]
+fn idle_clients_take_no_descriptor_from_discovery_counter_and_destinations() {
+    let (at, _seen) = echo();
+    let (counter, added) = counter(0.0);
+    let (agent, folder) = (nobody(), Folder::new("descriptors"));
+    let shape = Shape {
+        destinations: &[at],
+        counter: Some(counter),
+        gatekeepers: 2,
+        sockets: 96,
+        ..Shape::default()
+    };
+    let path = folder.write("config.json", &config(agent, &shape));
+    let program = Program::start_with(96, &[("BALANCER_CONFIG", &path)]);
+    let listen: std::net::SocketAddr = program.logged("serving on ").parse().expect("an address");
+    let usual = |number: u32| {
+        let fields = "c=lookup,t=team,d=2400,units=1,spread=2,first=0";
+        words(&["SVC.QUERY", &id(number), &id(number), fields])
+    };
+    // Each has used its connection and rests until the gatekeeper ends it; beyond the table they wait at the door.
+    let mut crowd: Vec<Client> = (0..200).map(|_| Client::connect(listen)).collect();
+    crowd.iter_mut().for_each(|client| client.send(&words(&["PING"])));
+    let mut answered = 0;
+    for client in &mut crowd {
+        client.writes.set_read_timeout(Some(Duration::from_millis(50))).expect("it can be set");
+        let mut first = [0];
+        answered += u32::from(std::io::Read::read(&mut client.writes, &mut first).is_ok_and(|n| n == 1));
+    }
+    assert!(answered > 40, "a table full of them: {answered}");
+    let before = (program.processor_ticks(), std::time::Instant::now());
+    // Many at once: each needs a connection to the loan server, and a lane to the counter.
+    let mut busy: Vec<Client> = Vec::new();
+    for number in 1..=40 {
+        let mut client = Client::connect(listen);
+        client.send(&usual(number));
+        busy.push(client);
+    }
+    let replies: Vec<String> = busy.iter_mut().map(Client::reply).collect();
+    let served = replies.iter().zip(1..).filter(|(reply, number)| **reply == id(*number)).count();
+    assert_eq!(served, 40, "{replies:?}");
+    next(&added);
+    let (ticks, span) = (program.processor_ticks() - before.0, before.1.elapsed());
+    assert!((ticks as u128) * 10 < span.as_millis() / 2 + 200, "{ticks} ticks in {span:?}");
+    // Discovery is back, and there is a descriptor for it.
+    let back = std::net::TcpListener::bind(agent).expect("its port is free");
+    let (mut watch, _) = back.accept().expect("a watch");
+    let mut request = [0; 64];
+    let n = std::io::Read::read(&mut watch, &mut request).expect("it asks");
+    assert!(request[..n].starts_with(b"GET /discovery/hosts?stream=1"));
+    drop(crowd);
+}
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -36,6 +36,10 @@
     pub rate: f64,
     /// us; mean work of a request.
     pub work: f64,
+    /// One gateway in ten is asked for this many times what each of the others is.
+    pub busiest: f64,
+    /// A cold backend falls at so many times what it can do then.
+    pub overload: f64,
     pub seed: u64,
 }
 
@@ -78,7 +82,7 @@
             second_copies: true,
             cold_share: 0.16,
             cold_span: 17 * SECOND,
-            overload_factor: 4.0,
+            overload_factor: shape.overload,
             fall_span: 1_500 * MS,
             counter: true,
             counter_wait: 30 * MS,
@@ -108,7 +112,7 @@
             fleet.gateways.push(Gateway::new(settings, seed, now).expect("usable settings"));
             let entries = fleet.list();
             fleet.feed(me as usize, Event::Backends { kind: ListKind::Cached, entries });
-            let first = fleet.gap();
+            let first = fleet.gap(me as usize);
             fleet.at(now + first, What::Arrival(me as usize));
         }
         fleet
@@ -164,6 +168,25 @@
         worst
     }
 
+    /// How far what was sent to a cold backend went beyond the rule's budget of N in its worst window, in parts of what counts
+    /// as chance: 2 x root of N + 2.
+    pub fn cold_excess(&self, id: u32) -> f64 {
+        let (s, span) = (&self.servers[&id], self.settings.fall_span);
+        let carries = 2.0 * SECOND as f64 / self.shape.work;
+        let times: Vec<Micros> = self.sends.iter().filter(|x| x.2 == id).map(|x| x.0).collect();
+        let mut worst: f64 = 0.0;
+        for (i, &from) in times.iter().enumerate() {
+            let warmth = self.warmth(s, from);
+            if warmth >= 1.0 {
+                break;
+            }
+            let sent = times[i..].iter().take_while(|&&t| t < from + span).count() as f64;
+            let budget = self.settings.overload_factor * warmth * carries * span as f64 / SECOND as f64;
+            worst = worst.max((sent - budget) / (2.0 * budget.sqrt() + 2.0));
+        }
+        worst
+    }
+
     /// How many backends a gateway has sent to since a time, in the mean over gateways.
     pub fn backends_used(&self, since: Micros) -> f64 {
         let pairs: HashSet<_> = self.sends.iter().filter(|x| x.0 >= since).map(|x| (x.1, x.2)).collect();
@@ -186,8 +209,10 @@
         self.queue.push(Reverse((at, self.serial, what)));
     }
 
-    fn gap(&mut self) -> Micros {
-        let mean = f64::from(self.shape.gateways) / self.shape.rate * SECOND as f64;
+    fn gap(&mut self, gateway: usize) -> Micros {
+        let weight = |gateway: usize| if gateway % 10 == 0 { self.shape.busiest } else { 1.0 };
+        let all: f64 = (0..self.shape.gateways as usize).map(weight).sum();
+        let mean = all / weight(gateway) / self.shape.rate * SECOND as f64;
         (-(1.0 - self.rng.f64()).ln() * mean) as Micros + 1
     }
 
@@ -198,7 +223,7 @@
                 self.next_id += 1;
                 self.tally[0] += 1;
                 self.tries[g].insert(id, Try { came: self.now, deadline, attempts: Vec::new(), over: false });
-                let gap = self.gap();
+                let gap = self.gap(g);
                 self.at(self.now + gap, What::Arrival(g));
                 self.feed(
                     g,
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -12,7 +12,7 @@
 fn hundred(load: f64, seed: u64) -> Fleet {
     let work = 172.0 * MS as f64;
     let rate = load * 60.0 * 2.0 * SECOND as f64 / work;
-    Fleet::new(Shape { gateways: 100, servers: 60, rate, work, seed })
+    Fleet::new(Shape { gateways: 100, servers: 60, rate, work, busiest: 1.0, overload: 4.0, seed })
 }
 
 /// Each gateway once held a connection to every backend, and knew each from one answer in ten seconds.
@@ -60,3 +60,32 @@
         assert!(used > 1_000, "seed {seed}: {used} sends to the cold ones in 12 s");
     }
 }
+
+/// The rule counts what all send together, however many they are and however unevenly they are asked: a busy gateway must not
+/// take its own share of the traffic for everybody's.
+#[test]
+fn cold_backends_are_not_pushed_over_by_few_or_many_gateways_with_uneven_traffic() {
+    for (gateways, servers, seeds) in [(1, 6, 4), (3, 8, 4), (30, 30, 2), (300, 100, 1)] {
+        for seed in 0..seeds {
+            let work = 172.0 * MS as f64;
+            let rate = 0.8 * f64::from(servers) * 2.0 * SECOND as f64 / work;
+            let mut fleet =
+                Fleet::new(Shape { gateways, servers, rate, work, busiest: 6.0, overload: 2.0, seed });
+            let from = fleet.now;
+            fleet.run_until(from + 4 * SECOND);
+            let cold = fleet.replace(&(1..=servers / 2).collect::<Vec<_>>());
+            fleet.run_until(from + 13 * SECOND);
+            let worst = cold.iter().map(|&id| fleet.cold_excess(id)).fold(0.0, f64::max);
+            let used = fleet.sends.iter().filter(|s| cold.contains(&s.2)).count();
+            // A quarter of what counts as chance: more would show in days of many windows.
+            assert!(
+                worst <= 0.25,
+                "{gateways} gateways, seed {seed}: {worst} of what is chance beyond the budget"
+            );
+            assert!(
+                used > 5 * servers as usize,
+                "{gateways} gateways, seed {seed}: {used} sends to the cold ones"
+            );
+        }
+    }
+}
