Test: half answers, clients that leave while something is made for them, evictions, starts without the counter

Each crossing is forced over sockets: answers that break off in the middle of a line, of a value or of its figures, with an end and with a reset; a client that leaves while its attempt's connection is made, while the counter is asked, and while its connection waits to be passed on at an upgrade; a request that comes as its idle connection makes room.

--- a/crates/snowfield/tests/common/mod.rs
+++ b/crates/snowfield/tests/common/mod.rs
@@ -87,6 +87,20 @@
         line.trim().trim_end_matches("kB").trim().parse().expect("a number")
     }
 
+    /// Its connections to there that are open, by the system's tables.
+    pub fn open_connections_to(&self, to: SocketAddr) -> usize {
+        let sockets = std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("it runs");
+        let links = sockets.flatten().filter_map(|fd| std::fs::read_link(fd.path()).ok());
+        let names: Vec<String> = links.map(|link| link.to_string_lossy().into_owned()).collect();
+        let table = std::fs::read_to_string("/proc/net/tcp").expect("the system's table");
+        let remote = format!("0100007F:{:04X}", to.port());
+        let open = table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
+        let open =
+            open.filter(|fields| fields.get(2) == Some(&remote.as_str()) && fields.get(3) == Some(&"01"));
+        open.filter(|fields| fields.get(9).is_some_and(|inode| names.contains(&format!("socket:[{inode}]"))))
+            .count()
+    }
+
     /// Processor time that it has used, in ticks of the system's clock (10 ms).
     pub fn processor_ticks(&self) -> u64 {
         let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).expect("it runs");
--- a/crates/snowfield/tests/endings.rs
+++ b/crates/snowfield/tests/endings.rs
@@ -4,8 +4,9 @@
 mod common;
 
 use common::*;
-use socket2::{Domain, Socket, Type};
-use std::io::{BufRead, Read, Write};
+use socket2::{Domain, SockRef, Socket, Type};
+use std::collections::HashSet;
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Mutex;
 use std::sync::mpsc::{Sender, channel};
@@ -224,3 +225,155 @@
     assert!(written.is_empty(), "written too late: {}", String::from_utf8_lossy(&written));
     assert!(client.reply().starts_with('-'), "no attempt is left");
 }
+
+/// A loan server that answers each request with these bytes and then ends: in good order, or with a reset.
+fn breaks_off(bytes: &'static [u8], reset: bool) -> SocketAddr {
+    listen(move |stream| {
+        let mut requests = BufReader::new(stream.try_clone().expect("a second handle"));
+        if command(&mut requests).is_some() {
+            let _ = (&stream).write_all(bytes);
+            if reset {
+                SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("it can be set");
+            }
+        }
+    })
+}
+
+/// Guards against half an answer that passes for one: a line without its end, a value cut short, figures that are missing.
+#[test]
+fn half_an_answer_is_none_however_it_breaks_off() {
+    for bytes in [
+        &b"-ERR fai"[..],
+        b"-BUSY",
+        b"*3\r\n$5\r\nhel",
+        b"*3\r\n$5\r\nhello\r\n",
+        b"*3\r\n$5\r\nhello\r\n$-1\r\n$-1\r",
+    ] {
+        for reset in [false, true] {
+            let (good, seen) = echo();
+            let shape = Shape { destinations: &[breaks_off(bytes, reset), good], ..Shape::default() };
+            let site = site("half-answer", &shape);
+            let mut client = Client::connect(site.listen);
+            for number in 1..=4 {
+                client.send(&query_by_another(number));
+                assert_eq!(client.reply(), id(number), "{bytes:?}, reset {reset}");
+            }
+            assert_eq!(all_asked(&seen).len(), 4, "each was served by the other one");
+        }
+    }
+}
+
+/// Guards against an attempt for nobody while its connection is being made.
+#[test]
+fn nothing_is_written_for_a_client_that_left_while_a_connection_was_made() {
+    let (late, filled) = crowded();
+    let at = late.local_addr().expect("an address");
+    let shape = Shape { destinations: &[at], ..Shape::default() };
+    let site = site_of("left-connecting", &shape, |text| {
+        text.replace(r#""connect-timeout-us":250000"#, r#""connect-timeout-us":2000000"#)
+    });
+    let mut client = Client::connect(site.listen);
+    client.send(&query(1, 2_400, 1));
+    let begun = Instant::now();
+    while !is_connecting(at) {
+        assert!(begun.elapsed() < LONG, "it is tried");
+    }
+    drop(client);
+    // A usual client is answered: what came before it has been seen.
+    let mut other = Client::connect(site.listen);
+    other.send(&words(&["PING"]));
+    assert_eq!(other.reply(), "+PONG");
+    let mut connections: Vec<TcpStream> = Vec::new();
+    while connections.len() <= filled.len() {
+        connections.push(late.accept().expect("a connection").0);
+    }
+    let mut made = connections.pop().expect("the last one");
+    made.set_read_timeout(Some(Duration::from_millis(300))).expect("it can be set");
+    let read = made.read(&mut [0; 64]);
+    assert!(!matches!(read, Ok(1..)), "something was written: {read:?}");
+}
+
+/// Guards against an attempt for nobody after the call to the counter for which its request waited.
+#[test]
+fn nothing_is_sent_for_a_client_that_left_while_the_counter_was_asked() {
+    let (tell, called) = channel();
+    let tell = Mutex::new(tell);
+    let counter = listen(move |stream| {
+        let mut calls = BufReader::new(stream.try_clone().expect("a second handle"));
+        while let Some(call) = command(&mut calls) {
+            let (release, word) = channel::<()>();
+            let _ = tell.lock().expect("no stand-in panics").send((call, release));
+            let _ = word.recv();
+            let _ = (&stream).write_all(b"$3\r\n0.5\r\n");
+        }
+    });
+    let (at, seen) = echo();
+    let shape = Shape { destinations: &[at], counter: Some(counter), gatekeepers: 2, ..Shape::default() };
+    let site = site_of("left-counter", &shape, |text| {
+        text.replace(r#""count-wait-us":30000"#, r#""count-wait-us":1500000"#)
+    });
+    let mut client = Client::connect(site.listen);
+    client.send(&query_of(1, 2_400, 1, 2));
+    let (_, release) = next(&called);
+    drop(client);
+    let mut other = Client::connect(site.listen);
+    other.send(&words(&["PING"]));
+    assert_eq!(other.reply(), "+PONG");
+    release.send(()).expect("the counter waits");
+    // A request of a lender that comes through one gatekeeper alone asks no counter.
+    other.send(&query_by_another(2));
+    assert_eq!(other.reply(), id(2));
+    assert_eq!(all_asked(&seen).len(), 1, "only the other's");
+}
+
+/// Guards idle connections: a request that crosses their eviction is served whole or surely unread, and then sent once more.
+#[test]
+fn a_request_that_comes_as_its_idle_connection_makes_room_is_served_or_unread() {
+    let (at, seen) = echo();
+    let site = site("evicted", &Shape { destinations: &[at], sockets: 96, ..Shape::default() });
+    let mut idle: Vec<Client> = (1..=50).map(|_| Client::connect(site.listen)).collect();
+    for (client, number) in idle.iter_mut().zip(1..) {
+        client.send(&query_by_another(number));
+        assert!(!client.reply().is_empty());
+    }
+    all_asked(&seen);
+    // One that says nothing ends after 2 s: then all others have been idle for as long.
+    assert!(Client::connect(site.listen).ended());
+    site.program.signal("-STOP");
+    let newcomers: Vec<Client> = (0..100).map(|_| Client::connect(site.listen)).collect();
+    for (client, number) in idle.iter_mut().zip(1_000..) {
+        client.send(&query_by_another(number));
+    }
+    site.program.signal("-CONT");
+    let (mut served, mut unread) = (Vec::new(), 0);
+    for (client, number) in idle.iter_mut().zip(1_000..) {
+        let mut line = String::new();
+        match client.reads.read_line(&mut line) {
+            Ok(1..) => served.push((number, line)),
+            _ => unread += 1,
+        }
+    }
+    let sent_on: HashSet<String> = all_asked(&seen).into_iter().map(|words| words[2].clone()).collect();
+    assert_eq!(served.len() + unread, 50);
+    for number in 1_000..1_050 {
+        let answered = served.iter().any(|(n, _)| *n == number);
+        assert!(answered || !sent_on.contains(&id(number)), "{number} was sent on and has no answer");
+    }
+    drop(newcomers);
+}
+
+/// Guards starts while the counter is away: refused, or silent. What comes through one gatekeeper alone needs none.
+#[test]
+fn a_program_that_starts_serves_without_the_counter() {
+    let (at, _seen) = echo();
+    let silent = listen(|mut stream| while stream.read(&mut [0; 4096]).is_ok_and(|n| n > 0) {});
+    for counter in [nobody(), silent] {
+        let shape = Shape { destinations: &[at], counter: Some(counter), gatekeepers: 2, ..Shape::default() };
+        let begun = Instant::now();
+        let site = site("no-counter", &shape);
+        let mut client = Client::connect(site.listen);
+        client.send(&query_of(1, 2_400, 1, 2));
+        assert_eq!(client.reply(), id(1));
+        assert!(begun.elapsed() < Duration::from_secs(10), "{:?}", begun.elapsed());
+    }
+}
--- a/crates/snowfield/tests/operation.rs
+++ b/crates/snowfield/tests/operation.rs
@@ -235,6 +235,25 @@
     assert!(number.into_inner() > 1200);
 }
 
+/// Guards the take-over: while a connection waits to be passed on it is not read, and the end of its client was not seen.
+#[test]
+fn a_client_that_leaves_while_its_connection_waits_to_be_passed_on_ends_its_request() {
+    let (at, seen, _release) = holds(10, |words| Does::Say(value(&words[2])));
+    let (site, _door) = operated("upgrade-left", &Shape { destinations: &[at], ..Shape::default() });
+    let mut waits = Client::connect(site.listen);
+    waits.send(&query_by_another(10));
+    asked(&seen);
+    let (_next, _) = beside(&site);
+    // More than is read ahead, unread as well.
+    waits.send(&[b'x'; 100_000]);
+    let begun = std::time::Instant::now();
+    drop(waits);
+    site.program.line("another program serves now");
+    while site.program.open_connections_to(at) > 0 {
+        assert!(begun.elapsed().as_millis() < 1_000, "its attempt is given up: {:?}", begun.elapsed());
+    }
+}
+
 /// Guards what stands between two programs: a request that is answered by the old one, half a request, an idle connection, and
 /// the stores, which must not be filled anew.
 #[test]
