--- a/crates/snowfield/tests/appliance.rs
+++ b/crates/snowfield/tests/appliance.rs
@@ -528,3 +528,77 @@
     let (succeeded, said) = run(&["nonsense"], &[]);
     assert!(!succeeded && said.contains("snowfield serve FILE"), "{said}");
 }
+
+/// Guards against half an answer: one without a length ends with its connection, but a reset is no end.
+#[test]
+fn an_answer_without_a_length_that_is_reset_is_none() {
+    for (reset, whole) in [(false, true), (true, false)] {
+        let breaks = listen(move |stream| {
+            let mut requests = std::io::BufReader::new(stream.try_clone().expect("a second handle"));
+            if message(&mut requests).is_some() {
+                let _ = std::io::Write::write_all(
+                    &mut &stream,
+                    b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf",
+                );
+                if reset {
+                    let no_time = Some(std::time::Duration::ZERO);
+                    socket2::SockRef::from(&stream).set_linger(no_time).expect("it can be set");
+                }
+            }
+        });
+        let site = site("no-length", &Shape { destinations: &[breaks], ..Shape::default() });
+        let got = Client::connect(site.listen).ask(&get("/v1/loans/7"));
+        assert_eq!((got.status(), got.text() == "half"), (if whole { 200 } else { 502 }, whole));
+    }
+}
+
+/// Guards against work for nobody: what a client sent that has gone since is not begun, nor what it had sent ahead.
+#[test]
+fn a_request_whose_client_has_gone_is_not_begun() {
+    let (at, seen) = serving();
+    let site = site("gone", &Shape { destinations: &[at], ..Shape::default() });
+    let mut stays = Client::connect(site.listen);
+    assert_eq!(stays.ask(&get("/v1/loans/1")).status(), 200);
+    let mut known = Client::connect(site.listen);
+    assert_eq!(known.ask(&get("/v1/loans/2")).status(), 200);
+    all_asked(&seen);
+    site.program.signal("-STOP");
+    known.send(&[get("/v1/loans/gone"), get("/v1/loans/gone")].concat().into_bytes());
+    let mut new = Client::connect(site.listen);
+    new.send(get("/v1/loans/gone").as_bytes());
+    drop((known, new));
+    site.program.signal("-CONT");
+    for _ in 0..5 {
+        assert_eq!(stays.ask(&get("/v1/loans/3")).status(), 200);
+    }
+    let targets: Vec<String> = all_asked(&seen).iter().map(|request| request.target().to_owned()).collect();
+    assert_eq!(targets, ["/v1/loans/3"; 5]);
+}
+
+/// Guards the last answer, and the requests behind it: these are surely unread, so that their client may send them again.
+#[test]
+fn at_the_end_what_comes_behind_the_last_answer_is_not_taken() {
+    let (release, word) = std::sync::mpsc::channel();
+    let word = std::sync::Mutex::new(Some(word));
+    let (at, seen) = destination(message, move |request| {
+        let word = word.lock().expect("no stand-in panics").take().expect("one request");
+        Does::SayAfter(word, ok(&request.first))
+    });
+    let mut site = site("ends", &Shape { destinations: &[at], ..Shape::default() });
+    let mut client = Client::connect(site.listen);
+    client.send(get("/v1/loans/1").as_bytes());
+    asked(&seen);
+    let mut idle = Client::connect(site.listen);
+    assert_eq!(idle.ask(&get("/v1/nothing")).status(), 404);
+    site.program.terminate();
+    assert!(idle.ended(), "closing has begun");
+    client.send(&[get("/v1/loans/2").into_bytes(), vec![b'x'; 300_000]].concat());
+    release.send(()).expect("the stand-in waits");
+    assert_eq!(client.answer().status(), 200);
+    let mut rest = Vec::new();
+    std::io::Read::read_to_end(&mut client.reads, &mut rest).expect("an end and no reset");
+    assert!(rest.is_empty());
+    drop(client);
+    assert_eq!(site.program.wait(), Some(0));
+    assert!(all_asked(&seen).is_empty(), "what came behind it is surely unread");
+}
