Rest connections for 20 ms after an answer: a second copy 10 ms late was the next one's value

Seen (test a_second_answer_that_comes_late_is_nobodys): with copies that come 10 ms late the second request had the first one's value, which loses it. Checked: answers carry no id, so nothing else tells them apart; a connection with news for nobody is closed already.

--- a/crates/destination/src/lib.rs
+++ b/crates/destination/src/lib.rs
@@ -23,9 +23,9 @@
 const READ: usize = 8 * 1024;
 /// A buffer larger than this is given back once its answer is through.
 const KEPT_BUFFER: usize = 32 * 1024;
-/// A connection rests this long after an answer before it carries the next step. Bytes that come behind an answer, a
-/// second copy or noise, would else be read as the answer to the next request.
-const REST: Duration = Duration::from_millis(5);
+/// A connection rests this long after an answer before it carries the next step. Bytes that come behind an answer, a second copy
+/// or noise, would else be read as the answer to the next request; they come some milliseconds late (the operators' page).
+const REST: Duration = Duration::from_millis(20);
 /// A long answer that does not move for this long has been forgotten by its destination or its client. Peers take seconds.
 const STALLED: Duration = Duration::from_secs(15);
 /// The most bytes that stand behind the value of a long answer.
--- a/crates/snowfield/tests/platform.rs
+++ b/crates/snowfield/tests/platform.rs
@@ -287,6 +287,27 @@
     assert!(connected.try_iter().count() > 1, "a request right after an answer goes on another connection");
 }
 
+/// Guards against another request's value: a second copy that came some milliseconds late was read as the answer to the next one.
+#[test]
+fn a_second_answer_that_comes_late_is_nobodys() {
+    let at = listen(|stream| {
+        let mut reads = std::io::BufReader::new(stream.try_clone().expect("a second handle"));
+        while let Some(words) = command(&mut reads) {
+            let _ = (&stream).write_all(&value(&words[2]));
+            // Nothing is sent on this channel: it is the copy's delay.
+            let (_held, late) = channel::<()>();
+            let _ = late.recv_timeout(std::time::Duration::from_millis(10));
+            let _ = (&stream).write_all(&value(&words[2]));
+        }
+    });
+    let site = site("second-answer", &Shape { destinations: &[at], ..Shape::default() });
+    let mut client = Client::connect(site.listen);
+    for number in 1..=100 {
+        client.send(&query_by_another(number));
+        assert_eq!(client.reply(), id(number));
+    }
+}
+
 #[test]
 fn a_client_that_leaves_ends_its_operation() {
     let (at, seen) = destination(command, |_| Does::Nothing);
