Keep the long rest only while few connections are open: at thousands of requests a second each made a new one

Change: where a quarter of all connections is open, 5 ms have to do; rested ones are found by bisection, since the list is in their order.

--- a/crates/destination/src/lib.rs
+++ b/crates/destination/src/lib.rs
@@ -26,6 +26,8 @@
 /// A connection rests this long after an answer before it carries the next step. Bytes that come behind an answer, a second copy
 /// or noise, would else be read as the answer to the next request; they come some milliseconds late (the operators' page).
 const REST: Duration = Duration::from_millis(20);
+/// The same where a quarter of all connections is open already: at thousands of requests a second each would else need one of its own.
+const SHORT_REST: Duration = Duration::from_millis(5);
 /// A long answer that does not move for this long has been forgotten by its destination or its client. Peers take seconds.
 const STALLED: Duration = Duration::from_secs(15);
 /// The most bytes that stand behind the value of a long answer.
@@ -302,8 +304,11 @@
         let address = pool.place.address;
         // The one used last that has rested. What has news for nobody speaks out of turn or has ended: its own coroutine
         // closes it when it comes to that.
-        let now = Instant::now();
-        while let Some(at) = pool.idle.iter().rposition(|(_, since)| now.duration_since(*since) >= REST) {
+        let (now, short) = (Instant::now(), 4 * table.open >= self.limits.connections);
+        let rest = if short { SHORT_REST } else { REST };
+        let rested =
+            |idle: &[(_, Instant)]| idle.partition_point(|(_, since)| now.duration_since(*since) >= rest);
+        while let Some(at) = rested(&pool.idle).checked_sub(1) {
             let (connection, _) = pool.idle.remove(at);
             if !connection.link.is_closed() && !connection.link.has_news() {
                 table.busy.insert(step.id, Busy::On(connection.clone()));
--- a/crates/front_resp/src/held.rs
+++ b/crates/front_resp/src/held.rs
@@ -46,8 +46,9 @@
     /// Holds so many bytes from now on.
     pub(crate) fn set(&mut self, bytes: usize) {
         if bytes != self.bytes {
-            self.of.bytes.fetch_add(bytes, Ordering::Relaxed);
-            self.of.bytes.fetch_sub(std::mem::replace(&mut self.bytes, bytes), Ordering::Relaxed);
+            // Wraps where it becomes less, and so does the sum.
+            let more = bytes.wrapping_sub(std::mem::replace(&mut self.bytes, bytes));
+            self.of.bytes.fetch_add(more, Ordering::Relaxed);
         }
     }
 }
