--- a/crates/snowfield/tests/endings.rs
+++ b/crates/snowfield/tests/endings.rs
@@ -377,3 +377,31 @@
         assert!(begun.elapsed() < Duration::from_secs(10), "{:?}", begun.elapsed());
     }
 }
+
+/// Guards clients that take their time: half a request when closing begins may become whole, and is answered.
+#[test]
+fn at_the_end_half_a_request_may_become_whole() {
+    let (at, _seen) = destination(command, |words| match words[2] == id(1) {
+        true => Does::Nothing,
+        false => Does::Say(value(&words[2])),
+    });
+    let mut site = site("half-at-end", &Shape { destinations: &[at], ..Shape::default() });
+    let mut idle = Client::connect(site.listen);
+    idle.send(&words(&["PING"]));
+    assert_eq!(idle.reply(), "+PONG");
+    site.program.terminate();
+    site.program.line("signal 15");
+    // The busy reply is the clock: half a request must not be old when closing begins 2.45 s after the signal.
+    let mut clock = Client::connect(site.listen);
+    clock.send(&query(1, 1_400, 1));
+    assert!(clock.reply().starts_with("-BUSY"));
+    let mut half = Client::connect(site.listen);
+    let whole = query_by_another(2);
+    half.send(&whole[..40]);
+    assert!(idle.ended(), "closing has begun");
+    half.send(&whole[40..]);
+    assert_eq!(half.reply(), id(2));
+    assert!(half.ended());
+    drop((half, clock, idle));
+    assert_eq!(site.program.wait(), Some(0));
+}
