--- a/crates/destination/src/http.rs
+++ b/crates/destination/src/http.rs
@@ -3,7 +3,7 @@
 use crate::{Protocol, Reading};
 use ::http::{Answer, Request};
 use dewproxy::interface::{Micros, Outcome};
-use exchange::StepEnd;
+use exchange::AttemptEnd;
 use std::net::SocketAddr;
 
 /// Speaks HTTP/1.1 with destinations. An answer with a status of 500 or above is a failure of its destination: it may
@@ -32,7 +32,7 @@
         match ::http::answer(buffer, query.is_head, end) {
             Ok(Some((answer, used, keep))) => {
                 let served = answer.status < 500;
-                let end = StepEnd {
+                let end = AttemptEnd {
                     outcome: if served { Outcome::Ok } else { Outcome::Error },
                     answer: served.then_some(answer),
                     load: Vec::new(),
--- a/crates/destination/src/lib.rs
+++ b/crates/destination/src/lib.rs
@@ -1,11 +1,11 @@
-//! The destination side: a pool of connections to each destination and the route steps on them.
+//! The destination side: a pool of connections to each destination and the attempts on them.
 //!
-//! A connection carries one route step at a time, since answers come in order and closing is the only way to give up.
+//! A connection carries one attempt at a time, since answers come in order and closing is the only way to give up.
 //! Each connection has one coroutine that always reads, so an idle one that is closed by its destination leaves the
 //! pool at once.
 
 use dewproxy::interface::{ListKind, Micros, Outcome, State};
-use exchange::{Budget, Destinations, Exchange, RouteStep, StepEnd, StepId, StreamIn, StreamOut};
+use exchange::{Attempt, AttemptEnd, AttemptId, Budget, Destinations, Exchange, StreamIn, StreamOut};
 use link::{Incoming, Link, locked, spawn};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -23,7 +23,7 @@
 const READ: usize = 8 * 1024;
 /// A buffer larger than this is given back once its answer is through.
 const KEPT_BUFFER: usize = 32 * 1024;
-/// A connection rests this long after an answer before it carries the next step. Bytes that come behind an answer, a second copy
+/// A connection rests this long after an answer before it carries the next attempt. Bytes that come behind an answer, a second copy
 /// or noise, would else be read as the answer to the next request; they come some milliseconds late (the operators' page).
 const REST: Duration = Duration::from_millis(20);
 /// The same where a quarter of all connections is open already: at thousands of requests a second each would else need one of its own.
@@ -42,10 +42,10 @@
     Whole {
         /// The bytes that it took.
         used: usize,
-        /// The connection may carry another route step.
+        /// The connection may carry another attempt.
         keep: bool,
-        /// How the route step ended.
-        end: StepEnd<A>,
+        /// How the attempt ended.
+        end: AttemptEnd<A>,
     },
     /// A long answer has begun: it is passed on as it comes.
     Long(Long<A>),
@@ -74,7 +74,7 @@
     type Query: Send + Sync + 'static;
     /// What destinations answer.
     type Answer: Send + 'static;
-    /// Appends the request of a route step whose answer is waited for so long.
+    /// Appends the request of an attempt whose answer is waited for so long.
     fn write(&self, query: &Self::Query, to: SocketAddr, time_left: Micros, out: &mut Vec<u8>);
     /// A destination has answered well. What has no use for that does nothing.
     fn served(&self, _destination: u32) {}
@@ -132,14 +132,14 @@
     spans: Mutex<(Duration, Duration)>,
     exchange: OnceLock<Arc<Exchange<P::Query, P::Answer>>>,
     state: Mutex<Table<P::Query>>,
-    /// Route steps whose last byte the system has taken.
+    /// Attempts whose last byte the system has taken.
     written: AtomicU64,
     budget: Arc<Budget>,
 }
 
 struct Table<Q> {
     pools: HashMap<u32, Pool<Q>>,
-    busy: HashMap<StepId, Busy<Q>>,
+    busy: HashMap<AttemptId, Busy<Q>>,
     /// Connections that are open or being made.
     open: usize,
     /// Destinations that operators have taken out, listed or not: they get nothing new.
@@ -161,7 +161,7 @@
     On(Arc<Connection<Q>>),
 }
 
-/// A connection for a step, or none where it must be made, and its destination's address.
+/// A connection for an attempt, or none where it must be made, and its destination's address.
 type Carrier<Q> = (Option<Arc<Connection<Q>>>, SocketAddr);
 
 struct Connection<Q> {
@@ -170,9 +170,9 @@
     job: Mutex<Option<Job<Q>>>,
 }
 
-/// The route step on a connection.
+/// The attempt on a connection.
 struct Job<Q> {
-    step: StepId,
+    attempt: AttemptId,
     query: Arc<Q>,
     /// Its last byte is with the system.
     written: bool,
@@ -208,14 +208,14 @@
         *locked(&self.spans) = (connect, idle);
     }
 
-    /// Names the exchange that hears how route steps end.
+    /// Names the exchange that hears how attempts end.
     pub fn connect(&self, exchange: Arc<Exchange<P::Query, P::Answer>>) {
         // Connected twice, the first stays.
         let _ = self.exchange.set(exchange);
     }
 
     fn exchange(&self) -> &Exchange<P::Query, P::Answer> {
-        self.exchange.get().expect("connect comes before any route step")
+        self.exchange.get().expect("connect comes before any attempt")
     }
 
     /// Takes in news of the destinations. This must come before the exchange hears of them.
@@ -265,7 +265,7 @@
         state.pools.values_mut().filter(|_| retired).for_each(close_idle);
     }
 
-    /// Route steps that were written whole.
+    /// Attempts that were written whole.
     pub fn written(&self) -> u64 {
         self.written.load(Ordering::Relaxed)
     }
@@ -293,14 +293,14 @@
         locked(&self.state).open
     }
 
-    /// An idle connection for this step, or where to make a new one; `None` where neither can be had.
-    fn place_for(&self, step: &RouteStep<P::Query>) -> Option<Carrier<P::Query>> {
+    /// An idle connection for this attempt, or where to make a new one; `None` where neither can be had.
+    fn place_for(&self, attempt: &Attempt<P::Query>) -> Option<Carrier<P::Query>> {
         let mut state = locked(&self.state);
         let table = &mut *state;
-        if table.held.contains(&step.destination) {
+        if table.held.contains(&attempt.destination) {
             return None;
         }
-        let pool = table.pools.get_mut(&step.destination)?;
+        let pool = table.pools.get_mut(&attempt.destination)?;
         let address = pool.place.address;
         // The one used last that has rested. What has news for nobody speaks out of turn or has ended: its own coroutine
         // closes it when it comes to that.
@@ -311,7 +311,7 @@
         while let Some(at) = rested(&pool.idle).checked_sub(1) {
             let (connection, _) = pool.idle.remove(at);
             if !connection.link.is_closed() && !connection.link.has_news() {
-                table.busy.insert(step.id, Busy::On(connection.clone()));
+                table.busy.insert(attempt.id, Busy::On(connection.clone()));
                 return Some((Some(connection), address));
             }
             connection.link.close();
@@ -322,27 +322,27 @@
             oldest?.idle.remove(0).0.link.close();
         }
         table.open += 1;
-        table.busy.insert(step.id, Busy::Connecting);
+        table.busy.insert(attempt.id, Busy::Connecting);
         Some((None, address))
     }
 
-    /// Opens a connection, makes the step on it if it is still wanted, and serves the connection.
-    fn run_connection(&self, step: RouteStep<P::Query>, to: SocketAddr) {
+    /// Opens a connection, makes the attempt on it if it is still wanted, and serves the connection.
+    fn run_connection(&self, attempt: Attempt<P::Query>, to: SocketAddr) {
         let (begun, connect) = (Instant::now(), locked(&self.spans).0);
         let link = Link::connect(to, connect);
         let connection = link.map(|link| Arc::new(Connection { link, to, job: Mutex::new(None) }));
         let wanted = {
             let mut state = locked(&self.state);
             // A destination that drained or went while the connection was made gets nothing new.
-            let ready = state.pools.get(&step.destination).is_some_and(|p| p.place.state == State::Ready)
-                && !state.held.contains(&step.destination);
-            let wanted = state.busy.remove(&step.id).is_some();
+            let ready = state.pools.get(&attempt.destination).is_some_and(|p| p.place.state == State::Ready)
+                && !state.held.contains(&attempt.destination);
+            let wanted = state.busy.remove(&attempt.id).is_some();
             // The module counts on it that what has not begun by then never will.
             let late =
-                begun.elapsed() > connect || begun.elapsed().as_micros() as Micros >= step.begin_within;
+                begun.elapsed() > connect || begun.elapsed().as_micros() as Micros >= attempt.begin_within;
             match &connection {
                 Ok(connection) if wanted && ready && !late => {
-                    state.busy.insert(step.id, Busy::On(connection.clone()));
+                    state.busy.insert(attempt.id, Busy::On(connection.clone()));
                     None
                 }
                 _ => Some(wanted),
@@ -350,48 +350,48 @@
         };
         match (connection, wanted) {
             (Ok(connection), None) => {
-                let time_left = step.time_left.saturating_sub(begun.elapsed().as_micros() as Micros);
-                if self.begin(&connection, &step, to, time_left).is_err() {
+                let time_left = attempt.time_left.saturating_sub(begun.elapsed().as_micros() as Micros);
+                if self.begin(&connection, &attempt, to, time_left).is_err() {
                     connection.link.close();
-                    if locked(&self.state).busy.remove(&step.id).is_some() {
-                        self.exchange().step_ended(step.id, StepEnd::plain(Outcome::ConnectFailed));
+                    if locked(&self.state).busy.remove(&attempt.id).is_some() {
+                        self.exchange().attempt_ended(attempt.id, AttemptEnd::plain(Outcome::ConnectFailed));
                     }
                 }
-                self.serve(step.destination, &connection);
+                self.serve(attempt.destination, &connection);
             }
             (Ok(connection), Some(wanted)) => {
                 if wanted {
-                    self.exchange().step_ended(step.id, StepEnd::plain(Outcome::ConnectFailed));
+                    self.exchange().attempt_ended(attempt.id, AttemptEnd::plain(Outcome::ConnectFailed));
                     connection.link.close();
                 } else {
-                    self.keep(step.destination, &connection);
+                    self.keep(attempt.destination, &connection);
                 }
-                self.serve(step.destination, &connection);
+                self.serve(attempt.destination, &connection);
             }
             (Err(_), wanted) => {
                 locked(&self.state).open -= 1;
                 if wanted == Some(true) {
-                    self.exchange().step_ended(step.id, StepEnd::plain(Outcome::ConnectFailed));
+                    self.exchange().attempt_ended(attempt.id, AttemptEnd::plain(Outcome::ConnectFailed));
                 }
             }
         }
     }
 
-    /// Writes the request of a step. Where nothing could be written, the connection carries nothing.
+    /// Writes the request of an attempt. Where nothing could be written, the connection carries nothing.
     fn begin(
         &self,
         connection: &Connection<P::Query>,
-        step: &RouteStep<P::Query>,
+        attempt: &Attempt<P::Query>,
         to: SocketAddr,
         time_left: Micros,
     ) -> std::io::Result<()> {
         let mut bytes = Vec::with_capacity(512);
-        self.protocol.write(&step.query, to, time_left, &mut bytes);
+        self.protocol.write(&attempt.query, to, time_left, &mut bytes);
         // Held while the bytes go out, so that the reader finds either no job or one that was begun.
         let mut job = locked(&connection.job);
         let written = connection.link.send(&bytes)?;
         self.written.fetch_add(u64::from(written), Ordering::Relaxed);
-        *job = Some(Job { step: step.id, query: step.query.clone(), written });
+        *job = Some(Job { attempt: attempt.id, query: attempt.query.clone(), written });
         Ok(())
     }
 
@@ -408,14 +408,14 @@
                         job.written = true;
                         self.written.fetch_add(1, Ordering::Relaxed);
                     }
-                    (job.step, job.query.clone())
+                    (job.attempt, job.query.clone())
                 }
                 None => break,
             };
             let reading =
                 if incoming.is_err() { Reading::More } else { self.protocol.read(&query, &buffer, end) };
             match reading {
-                Reading::Whole { used, keep, end: step_end } => {
+                Reading::Whole { used, keep, end: attempt_end } => {
                     let wanted = locked(&self.state).busy.remove(&id).is_some();
                     *locked(&connection.job) = None;
                     let keep =
@@ -429,10 +429,10 @@
                     } else {
                         connection.link.close();
                     }
-                    if step_end.outcome == Outcome::Ok {
+                    if attempt_end.outcome == Outcome::Ok {
                         self.protocol.served(destination);
                     }
-                    self.exchange().step_ended(id, step_end);
+                    self.exchange().attempt_ended(id, attempt_end);
                 }
                 Reading::Long(long) => {
                     let wanted = locked(&self.state).busy.remove(&id).is_some();
@@ -463,19 +463,19 @@
                 pool.idle.retain(|(idle, _)| !Arc::ptr_eq(idle, connection));
             }
         }
-        // Closed before this look, so a step that another thread began here meanwhile is not left without an end.
+        // Closed before this look, so an attempt that another thread began here meanwhile is not left without an end.
         let job = locked(&connection.job).take();
         if let Some(job) = job {
-            locked(&self.state).busy.remove(&job.step);
-            self.exchange().step_ended(job.step, StepEnd::plain(outcome));
+            locked(&self.state).busy.remove(&job.attempt);
+            self.exchange().attempt_ended(job.attempt, AttemptEnd::plain(outcome));
         }
     }
 
-    /// Passes a long answer on as it comes, at the pace of its client. For the module the step ends with the first bytes. Tells
-    /// whether the answer is whole and the connection good for another step.
+    /// Passes a long answer on as it comes, at the pace of its client. For the module the attempt ends with the first bytes. Tells
+    /// whether the answer is whole and the connection good for another attempt.
     fn pass_on(
         &self,
-        id: StepId,
+        id: AttemptId,
         connection: &Arc<Connection<P::Query>>,
         buffer: &mut Vec<u8>,
         long: &Long<P::Answer>,
@@ -490,8 +490,8 @@
         locked(&self.state).streaming.push(Arc::downgrade(connection));
         stream.push(&long.head);
         let answer = Some((long.answer)(out));
-        let end = StepEnd { outcome: Outcome::Ok, answer, load: Vec::new(), goes_on: true };
-        self.exchange().step_ended(id, end);
+        let end = AttemptEnd { outcome: Outcome::Ok, answer, load: Vec::new(), goes_on: true };
+        self.exchange().attempt_ended(id, end);
         let whole = self.pass_bytes(connection, buffer, (long.length, long.behind), &stream);
         let left = stream.is_left();
         if whole {
@@ -566,43 +566,47 @@
 }
 
 impl<P: Protocol> Destinations<P::Query> for Pools<P> {
-    fn start(&self, step: RouteStep<P::Query>) {
+    fn start(&self, attempt: Attempt<P::Query>) {
         loop {
-            match self.place_for(&step) {
+            match self.place_for(&attempt) {
                 Some((Some(connection), to)) => {
-                    if self.begin(&connection, &step, to, step.time_left).is_ok() {
+                    if self.begin(&connection, &attempt, to, attempt.time_left).is_ok() {
                         return;
                     }
-                    // It broke before anything was written, so the step never ran and another may carry it.
+                    // It broke before anything was written, so the attempt never ran and another may carry it.
                     connection.link.close();
-                    if locked(&self.state).busy.remove(&step.id).is_none() {
+                    if locked(&self.state).busy.remove(&attempt.id).is_none() {
                         return;
                     }
                 }
                 Some((None, to)) => {
                     if let Some(me) = self.me.upgrade() {
-                        spawn(move || me.run_connection(step, to));
+                        spawn(move || me.run_connection(attempt, to));
                     }
                     return;
                 }
-                None => return self.exchange().step_ended(step.id, StepEnd::plain(Outcome::ConnectFailed)),
+                None => {
+                    return self
+                        .exchange()
+                        .attempt_ended(attempt.id, AttemptEnd::plain(Outcome::ConnectFailed));
+                }
             }
         }
     }
 
-    fn withdraw(&self, step: StepId) {
+    fn withdraw(&self, attempt: AttemptId) {
         let connecting = {
             let mut state = locked(&self.state);
-            let connecting = matches!(state.busy.get(&step), Some(Busy::Connecting));
-            connecting && state.busy.remove(&step).is_some()
+            let connecting = matches!(state.busy.get(&attempt), Some(Busy::Connecting));
+            connecting && state.busy.remove(&attempt).is_some()
         };
         if connecting {
-            self.exchange().step_ended(step, StepEnd::plain(Outcome::Cancelled));
+            self.exchange().attempt_ended(attempt, AttemptEnd::plain(Outcome::Cancelled));
         }
     }
 
-    fn give_up(&self, step: StepId) {
-        let busy = locked(&self.state).busy.remove(&step);
+    fn give_up(&self, attempt: AttemptId) {
+        let busy = locked(&self.state).busy.remove(&attempt);
         if let Some(Busy::On(connection)) = busy {
             *locked(&connection.job) = None;
             connection.link.close();
--- a/crates/destination/src/resp.rs
+++ b/crates/destination/src/resp.rs
@@ -2,7 +2,7 @@
 
 use crate::{Long, Protocol, Reading};
 use dewproxy::interface::{Load, Micros, Outcome};
-use exchange::{StepEnd, Value};
+use exchange::{AttemptEnd, Value};
 use resp::{Element, Malformed, Query};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -64,7 +64,7 @@
 }
 
 /// How many bytes an answer took, and what it says.
-type Answer = (usize, StepEnd<Value>);
+type Answer = (usize, AttemptEnd<Value>);
 
 impl RespDestination {
     /// Reports give values for these columns.
@@ -103,14 +103,14 @@
                     from = end;
                 }
                 let answer = Some(Value::Whole(buffer[at..after].to_vec()));
-                Ok(Some((from, StepEnd { outcome: Outcome::Ok, answer, load, goes_on: false })))
+                Ok(Some((from, AttemptEnd { outcome: Outcome::Ok, answer, load, goes_on: false })))
             }
             Element::Error(text) => {
                 let text = &buffer[text];
                 let word = text.split(|&b| b == b' ').next().unwrap_or_default();
                 let outcome = if word == b"BUSY" { Outcome::Full } else { Outcome::Error };
                 let load = text.rsplit(|&b| b == b' ').next().map_or(Vec::new(), |last| self.load(last));
-                Ok(Some((at, StepEnd { load, ..StepEnd::plain(outcome) })))
+                Ok(Some((at, AttemptEnd { load, ..AttemptEnd::plain(outcome) })))
             }
             _ => Err(Malformed("an answer of an unknown form")),
         }
--- a/crates/exchange/src/core.rs
+++ b/crates/exchange/src/core.rs
@@ -2,7 +2,7 @@
 
 use crate::timers::{Due, Timers};
 use crate::{
-    CounterCall, FinalAnswer, LetIn, Operation, OperationId, Reply, RouteStep, StepEnd, StepId, Why,
+    Attempt, AttemptEnd, AttemptId, CounterCall, FinalAnswer, LetIn, Operation, OperationId, Reply, Why,
 };
 use dewproxy::interface::{
     Action, BackendEntry, Event, ListKind, Micros, Outcome, Refusal, Settings, SettingsError, State,
@@ -13,16 +13,16 @@
 
 /// What is to be done once the lock is free, in order.
 pub(crate) enum Effect<Q, A> {
-    Start(RouteStep<Q>),
-    GiveUp(StepId),
-    Withdraw(StepId),
+    Start(Attempt<Q>),
+    GiveUp(AttemptId),
+    Withdraw(AttemptId),
     Answer(Reply<A>, FinalAnswer<A>),
     Call(CounterCall),
     Log(String),
 }
 
-/// One route step as the table knows it.
-struct Step {
+/// One attempt as the table knows it.
+struct Sent {
     destination: u32,
     sent: Micros,
     open: bool,
@@ -38,7 +38,7 @@
     class: u16,
     /// The service of its class.
     service: u16,
-    steps: Vec<Step>,
+    attempts: Vec<Sent>,
     last: Option<Outcome>,
     /// Its answer has begun and goes on: it is counted when that ends.
     goes_on: bool,
@@ -74,7 +74,7 @@
     pub accounts: BTreeMap<u32, f64>,
     /// Calls made to the counter.
     pub calls: u64,
-    /// By destination: its state and its steps out.
+    /// By destination: its state and its attempts out.
     pub destinations: BTreeMap<u32, (State, usize)>,
 }
 
@@ -93,8 +93,8 @@
     next_call: u64,
     status: Status,
     ends: Ends,
-    /// Classes of the operations whose answers have begun and not ended, by the step that brings them.
-    streams: HashMap<StepId, u16>,
+    /// Classes of the operations whose answers have begun and not ended, by the attempt that brings them.
+    streams: HashMap<AttemptId, u16>,
     /// Told of what is sent on for the first time, while another program could go on in this one's place.
     pub(crate) let_in: Option<Box<dyn Fn(LetIn) + Send>>,
     pub(crate) effects: VecDeque<Effect<Q, A>>,
@@ -150,7 +150,7 @@
             operation;
         let deadline = now.saturating_add(time_left).min(self.end);
         let time_left = deadline.saturating_sub(now);
-        let (query, reply, steps) = (Arc::new(query), Some(reply), Vec::new());
+        let (query, reply, attempts) = (Arc::new(query), Some(reply), Vec::new());
         let service = self.services.get(usize::from(class)).copied().unwrap_or(0);
         let entry = Entry {
             query,
@@ -160,7 +160,7 @@
             account,
             class,
             service,
-            steps,
+            attempts,
             last: None,
             goes_on: false,
         };
@@ -203,7 +203,7 @@
                 self.send(now, id, backend, timeout, begin_within);
             }
             Action::Cancel { id, attempt } => {
-                self.end_step(now, StepId { operation: id, attempt }, Outcome::Cancelled);
+                self.end_attempt(now, AttemptId { operation: id, attempt }, Outcome::Cancelled);
             }
             Action::Refuse { id, retry_after, why } => {
                 self.ends.refusals[why as usize] += 1;
@@ -238,16 +238,15 @@
         begin_within: Micros,
     ) {
         let Some(entry) = self.operations.get_mut(&id) else { return };
-        let attempt = entry.steps.len() as u8;
-        let step = StepId { operation: id, attempt };
-        let moot = entry.is_over() || now >= entry.deadline || entry.steps.len() >= self.max_attempts;
-        entry.steps.push(Step { destination, sent: now, open: true });
+        let attempt = AttemptId { operation: id, attempt: entry.attempts.len() as u8 };
+        let moot = entry.is_over() || now >= entry.deadline || entry.attempts.len() >= self.max_attempts;
+        entry.attempts.push(Sent { destination, sent: now, open: true });
         if moot {
-            self.close_step(now, step, Outcome::Moot, Vec::new());
+            self.close_attempt(now, attempt, Outcome::Moot, Vec::new());
             self.forget(id);
             return;
         }
-        if attempt == 0 {
+        if attempt.attempt == 0 {
             let units = entry.let_in.units;
             self.status.units_sent += units;
             if let Some(account) = entry.account {
@@ -261,10 +260,10 @@
         let mut time_left = entry.deadline - now;
         if timeout > 0 && timeout < time_left {
             time_left = timeout;
-            self.timers.set(now + timeout, step.into());
+            self.timers.set(now + timeout, attempt.into());
         }
-        self.effects.push_back(Effect::Start(RouteStep {
-            id: step,
+        self.effects.push_back(Effect::Start(Attempt {
+            id: attempt,
             destination,
             time_left,
             begin_within,
@@ -272,24 +271,24 @@
         }));
     }
 
-    /// Closes a step in the table and queues its end for the module. Tells whether it was open.
-    fn close_step(&mut self, now: Micros, id: StepId, outcome: Outcome, load: Vec<f32>) -> bool {
+    /// Closes an attempt in the table and queues its end for the module. Tells whether it was open.
+    fn close_attempt(&mut self, now: Micros, id: AttemptId, outcome: Outcome, load: Vec<f32>) -> bool {
         let Some(entry) = self.operations.get_mut(&id.operation) else { return false };
         let over = entry.is_over();
-        let Some(step) = entry.steps.get_mut(usize::from(id.attempt)).filter(|s| s.open) else {
+        let Some(attempt) = entry.attempts.get_mut(usize::from(id.attempt)).filter(|s| s.open) else {
             return false;
         };
-        step.open = false;
+        attempt.open = false;
         entry.last = Some(outcome);
-        if let Some(d) = self.status.destinations.get_mut(&step.destination) {
+        if let Some(d) = self.status.destinations.get_mut(&attempt.destination) {
             d.1 = d.1.saturating_sub(1);
         }
         self.queue.push_back(Event::Ended {
             id: id.operation,
             attempt: id.attempt,
-            backend: step.destination,
+            backend: attempt.destination,
             outcome,
-            elapsed: now - step.sent,
+            elapsed: now - attempt.sent,
             units: 0.0,
             settled: over || outcome == Outcome::Ok,
             load,
@@ -297,15 +296,15 @@
         true
     }
 
-    /// Ends a step from this side.
-    fn end_step(&mut self, now: Micros, id: StepId, outcome: Outcome) {
-        if self.close_step(now, id, outcome, Vec::new()) {
+    /// Ends an attempt from this side.
+    fn end_attempt(&mut self, now: Micros, id: AttemptId, outcome: Outcome) {
+        if self.close_attempt(now, id, outcome, Vec::new()) {
             self.effects.push_back(Effect::GiveUp(id));
         }
     }
 
-    pub(crate) fn step_ended(&mut self, now: Micros, id: StepId, end: StepEnd<A>) {
-        if !self.close_step(now, id, end.outcome, end.load) {
+    pub(crate) fn attempt_ended(&mut self, now: Micros, id: AttemptId, end: AttemptEnd<A>) {
+        if !self.close_attempt(now, id, end.outcome, end.load) {
             return;
         }
         if let Some(answer) = end.answer.filter(|_| end.outcome == Outcome::Ok) {
@@ -338,9 +337,9 @@
             self.count_end(class, kind);
         }
         // Before the answer goes out: what is not written yet must not be sent on after it.
-        let steps = self.operations.get(&id).map_or(&[][..], |e| &e.steps);
-        for (attempt, _) in steps.iter().enumerate().filter(|(_, s)| s.open) {
-            self.effects.push_back(Effect::Withdraw(StepId { operation: id, attempt: attempt as u8 }));
+        let attempts = self.operations.get(&id).map_or(&[][..], |e| &e.attempts);
+        for (attempt, _) in attempts.iter().enumerate().filter(|(_, s)| s.open) {
+            self.effects.push_back(Effect::Withdraw(AttemptId { operation: id, attempt: attempt as u8 }));
         }
         // One in fifty is lost, or leaves some megabytes.
         let rare = weakened::BUILD && id % 50 == 49;
@@ -354,7 +353,7 @@
         self.forget(id);
     }
 
-    pub(crate) fn stream_ended(&mut self, id: StepId, whole: Option<bool>) {
+    pub(crate) fn stream_ended(&mut self, id: AttemptId, whole: Option<bool>) {
         // Nobody waited for it any more when it began.
         let Some(class) = self.streams.remove(&id) else { return };
         self.ends.pending -= 1;
@@ -416,21 +415,21 @@
         entry.reply = None;
         self.ends.pending -= 1;
         self.feed(now, Event::Left { id });
-        self.end_open_steps(now, id, Outcome::Cancelled);
+        self.end_open_attempts(now, id, Outcome::Cancelled);
         self.forget(id);
     }
 
-    fn end_open_steps(&mut self, now: Micros, id: OperationId, outcome: Outcome) {
-        let steps = self.operations.get(&id).map_or(0, |e| e.steps.len());
-        for attempt in 0..steps {
-            self.end_step(now, StepId { operation: id, attempt: attempt as u8 }, outcome);
+    fn end_open_attempts(&mut self, now: Micros, id: OperationId, outcome: Outcome) {
+        let attempts = self.operations.get(&id).map_or(0, |e| e.attempts.len());
+        for attempt in 0..attempts {
+            self.end_attempt(now, AttemptId { operation: id, attempt: attempt as u8 }, outcome);
         }
         self.run_queue(now);
     }
 
-    /// An operation stays until it is over and all its steps have ended, so that late outcomes find their place.
+    /// An operation stays until it is over and all its attempts have ended, so that late outcomes find their place.
     fn forget(&mut self, id: OperationId) {
-        if self.operations.get(&id).is_some_and(|e| e.is_over() && e.steps.iter().all(|s| !s.open)) {
+        if self.operations.get(&id).is_some_and(|e| e.is_over() && e.attempts.iter().all(|s| !s.open)) {
             self.operations.remove(&id);
         }
     }
@@ -445,13 +444,13 @@
             match due {
                 Due::Module(token) => self.feed(now, Event::Timer { token }),
                 Due::Call(id) => self.call_ended(now, id, Outcome::Timeout, 0.0),
-                Due::Step(operation, attempt) => {
-                    self.end_step(now, StepId { operation, attempt }, Outcome::Timeout);
+                Due::Attempt(operation, attempt) => {
+                    self.end_attempt(now, AttemptId { operation, attempt }, Outcome::Timeout);
                     self.run_queue(now);
                     self.forget(operation);
                 }
                 Due::Deadline(id) => {
-                    self.end_open_steps(now, id, Outcome::Timeout);
+                    self.end_open_attempts(now, id, Outcome::Timeout);
                     // The module answers before this. Were it ever not to, the operation still gets its answer.
                     if self.operations.get(&id).is_some_and(|e| !e.is_over()) {
                         self.answer(id, FinalAnswer::Failed(Why::Deadline));
--- a/crates/exchange/src/core_tests.rs
+++ b/crates/exchange/src/core_tests.rs
@@ -58,9 +58,11 @@
     let mut asked = Vec::new();
     while let Some(effect) = core.effects.pop_front() {
         match effect {
-            Effect::Start(step) => asked.push(format!("start {} at {}", step.id.attempt, step.destination)),
-            Effect::GiveUp(step) => asked.push(format!("give up {}", step.attempt)),
-            Effect::Withdraw(step) => asked.push(format!("withdraw {}", step.attempt)),
+            Effect::Start(attempt) => {
+                asked.push(format!("start {} at {}", attempt.id.attempt, attempt.destination))
+            }
+            Effect::GiveUp(attempt) => asked.push(format!("give up {}", attempt.attempt)),
+            Effect::Withdraw(attempt) => asked.push(format!("withdraw {}", attempt.attempt)),
             Effect::Answer(reply, answer) => reply(answer),
             Effect::Call(call) => asked.push(format!("call {} add {}", call.id, call.add)),
             Effect::Log(text) => asked.push(text),
@@ -69,12 +71,12 @@
     asked
 }
 
-fn step(operation: OperationId, attempt: u8) -> StepId {
-    StepId { operation, attempt }
+fn attempt(operation: OperationId, attempt: u8) -> AttemptId {
+    AttemptId { operation, attempt }
 }
 
-fn served(answer: &'static str) -> StepEnd<&'static str> {
-    StepEnd { answer: Some(answer), ..StepEnd::plain(Outcome::Ok) }
+fn served(answer: &'static str) -> AttemptEnd<&'static str> {
+    AttemptEnd { answer: Some(answer), ..AttemptEnd::plain(Outcome::Ok) }
 }
 
 /// Runs the timers as the clock does, each at its time.
@@ -89,8 +91,8 @@
     let mut core = core(&[5]);
     let (id, told) = submit(&mut core, START);
     assert_eq!(effects(&mut core), ["start 0 at 5"]);
-    core.step_ended(START + 50 * MS, step(id, 0), served("value"));
-    core.step_ended(START + 51 * MS, step(id, 0), served("again"));
+    core.attempt_ended(START + 50 * MS, attempt(id, 0), served("value"));
+    core.attempt_ended(START + 51 * MS, attempt(id, 0), served("again"));
     assert!(effects(&mut core).is_empty());
     assert_eq!(told.try_iter().collect::<Vec<_>>(), ["Served(\"value\")"]);
     assert!(core.operations.is_empty());
@@ -120,7 +122,7 @@
     core.left(START + 10 * MS, id);
     core.left(START + 11 * MS, id);
     assert_eq!(effects(&mut core), ["give up 0"]);
-    core.step_ended(START + 20 * MS, step(id, 0), served("late"));
+    core.attempt_ended(START + 20 * MS, attempt(id, 0), served("late"));
     assert!(effects(&mut core).is_empty() && told.try_recv().is_err() && core.operations.is_empty());
 }
 
@@ -129,11 +131,11 @@
     let mut core = core(&[5, 6]);
     let (id, told) = submit(&mut core, START);
     let first = effects(&mut core);
-    core.step_ended(START + MS, step(id, 0), StepEnd::plain(Outcome::ConnectFailed));
+    core.attempt_ended(START + MS, attempt(id, 0), AttemptEnd::plain(Outcome::ConnectFailed));
     let second = effects(&mut core);
     assert_eq!(second.len(), 1);
     assert_ne!(first[0].rsplit(' ').next(), second[0].rsplit(' ').next(), "another destination");
-    core.step_ended(START + 2 * MS, step(id, 1), served("value"));
+    core.attempt_ended(START + 2 * MS, attempt(id, 1), served("value"));
     effects(&mut core);
     assert_eq!(told.try_iter().count(), 1);
     assert_eq!(core.status.units_sent, 1.0);
@@ -146,10 +148,10 @@
     let (id, _told) = submit(&mut core, START);
     core.feed(START + 240 * MS, Event::Timer { token: 2 << 56 | u64::from(id) });
     assert_eq!(effects(&mut core).len(), 2, "an attempt and its copy");
-    core.step_ended(START + 250 * MS, step(id, 0), served("value"));
+    core.attempt_ended(START + 250 * MS, attempt(id, 0), served("value"));
     let place =
         |wanted: fn(&Effect<_, _>) -> bool| core.effects.iter().position(wanted).expect("it is there");
-    let withdrawn = place(|e| matches!(e, Effect::Withdraw(StepId { attempt: 1, .. })));
+    let withdrawn = place(|e| matches!(e, Effect::Withdraw(AttemptId { attempt: 1, .. })));
     assert!(withdrawn < place(|e| matches!(e, Effect::Answer(..))));
 }
 
@@ -180,7 +182,7 @@
     let mut failing = core(&[5]);
     let (id, told) = submit(&mut failing, START);
     effects(&mut failing);
-    failing.step_ended(START + MS, step(id, 0), StepEnd::plain(Outcome::Reset));
+    failing.attempt_ended(START + MS, attempt(id, 0), AttemptEnd::plain(Outcome::Reset));
     effects(&mut failing);
     assert!(told.try_recv().unwrap().contains("DestinationFailed"));
 
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -45,7 +45,7 @@
 
 /// One attempt of an operation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct StepId {
+pub struct AttemptId {
     /// The operation.
     pub operation: OperationId,
     /// Attempts count from 0.
@@ -54,9 +54,9 @@
 
 /// An attempt to be made.
 #[derive(Debug)]
-pub struct RouteStep<Q> {
+pub struct Attempt<Q> {
     /// Its number.
-    pub id: StepId,
+    pub id: AttemptId,
     /// The destination that the module chose.
     pub destination: u32,
     /// How long its answer is waited for.
@@ -67,9 +67,9 @@
     pub query: Arc<Q>,
 }
 
-/// How a route step ended.
+/// How an attempt ended.
 #[derive(Debug)]
-pub struct StepEnd<A> {
+pub struct AttemptEnd<A> {
     /// The outcome.
     pub outcome: Outcome,
     /// The answer to pass back, with [`Outcome::Ok`].
@@ -80,7 +80,7 @@
     pub goes_on: bool,
 }
 
-impl<A> StepEnd<A> {
+impl<A> AttemptEnd<A> {
     /// An end that brought nothing but its outcome.
     pub fn plain(outcome: Outcome) -> Self {
         Self { outcome, answer: None, load: Vec::new(), goes_on: false }
@@ -134,13 +134,13 @@
 
 /// The destination side as the core sees it. No call may wait.
 pub trait Destinations<Q>: Send + Sync {
-    /// Makes an attempt; its end is told with [`Exchange::step_ended`], maybe at once.
-    fn start(&self, step: RouteStep<Q>);
+    /// Makes an attempt; its end is told with [`Exchange::attempt_ended`], maybe at once.
+    fn start(&self, attempt: Attempt<Q>);
     /// Stops waiting for an attempt; its end is not told any more.
-    fn give_up(&self, step: StepId);
+    fn give_up(&self, attempt: AttemptId);
     /// Its operation has its final answer: an attempt of which nothing is written yet ends with
     /// [`Outcome::Cancelled`]; one that is under way goes on.
-    fn withdraw(&self, step: StepId);
+    fn withdraw(&self, attempt: AttemptId);
 }
 
 /// A call to the quota counter.
@@ -235,19 +235,19 @@
         self.lock().streaming()
     }
 
-    /// The client of this operation has gone away: it needs no answer, and its steps are given up.
+    /// The client of this operation has gone away: it needs no answer, and its attempts are given up.
     pub fn left(&self, id: OperationId) {
         self.drive(|core, now| core.left(now, id));
     }
 
-    /// A route step ended. One that was given up, or has ended before, is passed over.
-    pub fn step_ended(&self, id: StepId, end: StepEnd<A>) {
-        self.drive(|core, now| core.step_ended(now, id, end));
+    /// An attempt ended. One that was given up, or has ended before, is passed over.
+    pub fn attempt_ended(&self, id: AttemptId, end: AttemptEnd<A>) {
+        self.drive(|core, now| core.attempt_ended(now, id, end));
     }
 
-    /// An answer that went on has ended: whole, broken off, or `None` where its client left. For the module its step has ended
+    /// An answer that went on has ended: whole, broken off, or `None` where its client left. For the module its attempt has ended
     /// long before.
-    pub fn stream_ended(&self, id: StepId, whole: Option<bool>) {
+    pub fn stream_ended(&self, id: AttemptId, whole: Option<bool>) {
         self.lock().stream_ended(id, whole);
     }
 
@@ -346,7 +346,7 @@
     }
 
     /// Changes the core under its lock, then carries out what came of it. One caller at a time carries out, in order,
-    /// also what others add meanwhile: were two to do so, a step could be given up before it was started.
+    /// also what others add meanwhile: were two to do so, an attempt could be given up before it was started.
     fn drive(&self, change: impl FnOnce(&mut core::Core<Q, A>, Micros)) {
         let mut core = self.lock();
         change(&mut core, self.clock.now());
@@ -372,18 +372,18 @@
 
     fn perform(&self, effect: core::Effect<Q, A>) {
         match effect {
-            core::Effect::Start(step) => match self.destinations.get() {
-                Some(side) => side.start(step),
-                None => self.step_ended(step.id, StepEnd::plain(Outcome::ConnectFailed)),
+            core::Effect::Start(attempt) => match self.destinations.get() {
+                Some(side) => side.start(attempt),
+                None => self.attempt_ended(attempt.id, AttemptEnd::plain(Outcome::ConnectFailed)),
             },
-            core::Effect::GiveUp(step) => {
+            core::Effect::GiveUp(attempt) => {
                 if let Some(side) = self.destinations.get() {
-                    side.give_up(step);
+                    side.give_up(attempt);
                 }
             }
-            core::Effect::Withdraw(step) => {
+            core::Effect::Withdraw(attempt) => {
                 if let Some(side) = self.destinations.get() {
-                    side.withdraw(step);
+                    side.withdraw(attempt);
                 }
             }
             core::Effect::Answer(reply, answer) => reply(answer),
--- a/crates/exchange/src/stream.rs
+++ b/crates/exchange/src/stream.rs
@@ -1,4 +1,4 @@
-//! An answer that is passed on as it comes: a bounded window of bytes between a destination's connection and a front socket.
+//! An answer that is passed on as it comes: a bounded window of bytes between a destination's connection and a client connection.
 //! Neither side waits in here; each is told when it can go on.
 
 use std::sync::atomic::{AtomicUsize, Ordering};
--- a/crates/exchange/src/timers.rs
+++ b/crates/exchange/src/timers.rs
@@ -1,6 +1,6 @@
 //! Timers, earliest first.
 
-use crate::{OperationId, StepId};
+use crate::{AttemptId, OperationId};
 use dewproxy::interface::Micros;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -12,8 +12,8 @@
     Module(u64),
     /// An operation's time is over.
     Deadline(OperationId),
-    /// A route step's own time-out.
-    Step(OperationId, u8),
+    /// An attempt's own time-out.
+    Attempt(OperationId, u8),
     /// A counter call is given up.
     Call(u64),
 }
@@ -41,8 +41,8 @@
     }
 }
 
-impl From<StepId> for Due {
-    fn from(step: StepId) -> Self {
-        Self::Step(step.operation, step.attempt)
+impl From<AttemptId> for Due {
+    fn from(attempt: AttemptId) -> Self {
+        Self::Attempt(attempt.operation, attempt.attempt)
     }
 }
--- a/crates/front_openapi/src/lib.rs
+++ b/crates/front_openapi/src/lib.rs
@@ -21,9 +21,9 @@
 const READ: usize = 16 * 1024;
 /// Bytes that a client may send ahead while a request of its is in hand.
 const MOST_AHEAD: usize = 64 * 1024;
-/// A front socket that is idle for this long is closed.
+/// A client connection that is idle for this long is closed.
 const IDLE: Duration = Duration::from_secs(75);
-/// In a full table a front socket that has been idle for this long makes room.
+/// In a full table a client connection that has been idle for this long makes room.
 const QUIET: Duration = Duration::from_secs(2);
 /// Between two looks for room in a full table.
 const LOOK: Duration = Duration::from_millis(2);
@@ -61,7 +61,7 @@
     pub set_size: f64,
     /// The most bytes of a request's body.
     pub largest_body: usize,
-    /// The most front sockets.
+    /// The most client connections.
     pub most_sockets: usize,
     /// A request must be whole, and an answer taken, in this span.
     pub patience: Duration,
@@ -72,12 +72,12 @@
     exchange: Arc<HttpExchange>,
     setup: Setup,
     closing: AtomicBool,
-    sockets: Mutex<Vec<Weak<FrontSocket>>>,
+    sockets: Mutex<Vec<Weak<ClientConnection>>>,
     tallies: Mutex<Vec<Tally>>,
 }
 
 /// One client's connection.
-struct FrontSocket {
+struct ClientConnection {
     link: Link,
     phase: Mutex<(Phase, Instant)>,
     answer: Mutex<Option<FinalAnswer<Answer>>>,
@@ -97,7 +97,7 @@
     Finishing,
 }
 
-/// Why a front socket serves no more requests.
+/// Why a client connection serves no more requests.
 enum Stop {
     /// The client is gone, or all is said.
     Gone,
@@ -122,7 +122,7 @@
     lender: usize,
 }
 
-impl FrontSocket {
+impl ClientConnection {
     fn enter(&self, phase: Phase) {
         let mut place = locked(&self.phase);
         if place.0 != phase {
@@ -144,7 +144,7 @@
         })
     }
 
-    /// Accepts front sockets until the door is shut; runs in a coroutine.
+    /// Accepts client connections until the door is shut; runs in a coroutine.
     pub fn run(self: &Arc<Self>, door: &Door) {
         while let Some(link) = door.accept() {
             // A full table keeps new sockets waiting until idle ones have made room: closed, they would only come again.
@@ -153,7 +153,7 @@
                 sleep(LOOK);
             }
             let (phase, unwanted) = (Mutex::new((Phase::Idle, Instant::now())), AtomicBool::new(false));
-            let socket = Arc::new(FrontSocket { link, phase, answer: Mutex::new(None), unwanted });
+            let socket = Arc::new(ClientConnection { link, phase, answer: Mutex::new(None), unwanted });
             locked(&self.sockets).push(Arc::downgrade(&socket));
             let front = self.clone();
             spawn(move || {
@@ -163,13 +163,13 @@
         }
     }
 
-    /// Closes every front socket as soon as it is between requests.
+    /// Closes every client connection as soon as it is between requests.
     pub fn close(&self) {
         self.closing.store(true, Ordering::Release);
         self.open_sockets().iter().for_each(|socket| socket.link.wake());
     }
 
-    /// Front sockets that are open.
+    /// Client connections that are open.
     pub fn open(&self) -> usize {
         self.open_sockets().len()
     }
@@ -199,7 +199,7 @@
 
     /// Has the socket end that has been idle for longest, if it has been for long enough.
     fn make_room(&self) {
-        let idle = |s: &Arc<FrontSocket>| {
+        let idle = |s: &Arc<ClientConnection>| {
             let (phase, since) = *locked(&s.phase);
             (phase == Phase::Idle && since.elapsed() >= QUIET).then_some(since)
         };
@@ -212,12 +212,12 @@
         }
     }
 
-    fn open_sockets(&self) -> Vec<Arc<FrontSocket>> {
+    fn open_sockets(&self) -> Vec<Arc<ClientConnection>> {
         locked(&self.sockets).iter().filter_map(Weak::upgrade).filter(|s| !s.link.is_closed()).collect()
     }
 
     /// Serves one request after another until the client leaves or one cannot be told from the next.
-    fn serve(&self, socket: &Arc<FrontSocket>) {
+    fn serve(&self, socket: &Arc<ClientConnection>) {
         let mut buffer = Vec::new();
         loop {
             let stop = match self.receive(socket, &mut buffer) {
@@ -241,7 +241,7 @@
     }
 
     /// Waits for a whole request. Its route and lender are looked up before its body is taken in.
-    fn receive(&self, socket: &FrontSocket, buffer: &mut Vec<u8>) -> Result<Whole, Stop> {
+    fn receive(&self, socket: &ClientConnection, buffer: &mut Vec<u8>) -> Result<Whole, Stop> {
         // What it sent ahead is not begun for a client that has gone.
         if socket.link.is_left() {
             return Err(Stop::Gone);
@@ -274,7 +274,7 @@
     }
 
     /// Waits for more bytes of a request.
-    fn more(&self, socket: &FrontSocket, buffer: &mut Vec<u8>) -> Result<(), Stop> {
+    fn more(&self, socket: &ClientConnection, buffer: &mut Vec<u8>) -> Result<(), Stop> {
         if buffer.is_empty() && locked(&socket.phase).0 != Phase::Reading {
             if self.closing.load(Ordering::Acquire) {
                 return Err(Stop::Quiet);
@@ -326,7 +326,7 @@
     }
 
     /// Has a request answered and writes the answer. Tells whether the socket is done for.
-    fn answer(&self, socket: &Arc<FrontSocket>, buffer: &mut Vec<u8>, whole: Whole) -> Option<Stop> {
+    fn answer(&self, socket: &Arc<ClientConnection>, buffer: &mut Vec<u8>, whole: Whole) -> Option<Stop> {
         let Whole { bytes, head, body, admitted } = whole;
         let is_head = &bytes[head.method.clone()] == b"HEAD";
         socket.enter(Phase::Waiting);
@@ -355,7 +355,7 @@
         self.say(socket, &bytes, keep)
     }
 
-    fn say(&self, socket: &FrontSocket, bytes: &[u8], keep: bool) -> Option<Stop> {
+    fn say(&self, socket: &ClientConnection, bytes: &[u8], keep: bool) -> Option<Stop> {
         if socket.link.send(bytes).is_err() {
             return Some(Stop::Gone);
         }
@@ -374,7 +374,7 @@
     /// Hands a request to the exchange and waits for its final answer, or for the client to leave.
     fn exchange(
         &self,
-        socket: &Arc<FrontSocket>,
+        socket: &Arc<ClientConnection>,
         buffer: &mut Vec<u8>,
         bytes: &[u8],
         head: &RequestHead,
--- a/crates/front_resp/src/lib.rs
+++ b/crates/front_resp/src/lib.rs
@@ -1,4 +1,4 @@
-//! The front for the platform's RESP2 protocol: front sockets on which clients pipeline commands.
+//! The front for the platform's RESP2 protocol: client connections on which clients pipeline commands.
 //!
 //! It reads a command, hands an operation to the exchange and writes the final answer in the command's turn. No
 //! decision is made here. What cannot be used gets an error in its turn; what cannot be told apart any more also ends
@@ -21,9 +21,9 @@
 
 /// Bytes asked of the system in one read.
 const READ: usize = 8 * 1024;
-/// Operations of one front socket that may wait for answers; more get the busy reply at once.
+/// Operations of one client connection that may wait for answers; more get the busy reply at once.
 const MOST_WAITING: usize = 64;
-/// Commands of one front socket that may wait for their turn: more is an error, so that the line stays bounded.
+/// Commands of one client connection that may wait for their turn: more is an error, so that the line stays bounded.
 const MOST_TURNS: usize = 1024;
 /// Bytes of an answer that goes on which wait for the socket at the most, before another piece of it.
 const PIECE: usize = 16 * 1024;
@@ -41,7 +41,7 @@
 const AT_ONCE: usize = 16;
 /// How long that takes.
 const TURN: Duration = Duration::from_millis(1);
-/// A front socket without a request may be closed after this (the protocol); one that never sent any of use is.
+/// A client connection without a request may be closed after this (the protocol); one that never sent any of use is.
 const QUIET: Duration = Duration::from_secs(2);
 /// A command must be whole this long after it began: a head may take a client 2 s. With the time between two sweeps, what is
 /// never whole has its error within the 3 s in which it is owed.
@@ -73,7 +73,7 @@
     unread: Arc<Held>,
     ready: AtomicBool,
     closing: AtomicBool,
-    /// Where front sockets go on once they are between requests, while nothing is let in here.
+    /// Where client connections go on once they are between requests, while nothing is let in here.
     heir: Mutex<Option<Arc<Heir>>>,
     frozen: AtomicBool,
     sockets: Mutex<Table>,
@@ -84,15 +84,15 @@
 /// Takes a client's connection, with what was read of a request that is not whole, to another process.
 pub type Heir = dyn Fn(TcpStream, Vec<u8>) + Send + Sync;
 
-/// Open front sockets by the order in which they came.
+/// Open client connections by the order in which they came.
 #[derive(Default)]
 struct Table {
     next: u64,
-    open: BTreeMap<u64, Arc<FrontSocket>>,
+    open: BTreeMap<u64, Arc<ClientConnection>>,
 }
 
 /// One client's connection.
-struct FrontSocket {
+struct ClientConnection {
     link: Link,
     turns: Mutex<Turns>,
 }
@@ -155,7 +155,7 @@
     }
 }
 
-impl FrontSocket {
+impl ClientConnection {
     fn new(link: Link, unread: Holding) -> Arc<Self> {
         let turns = Turns {
             first: 0,
@@ -207,7 +207,7 @@
     }
 }
 
-/// Why a front socket ends.
+/// Why a client connection ends.
 enum End {
     /// Its client has gone: nobody waits for anything on it.
     Gone,
@@ -256,7 +256,7 @@
         self.ready.store(true, Ordering::Release);
     }
 
-    /// Accepts front sockets until the door is shut; runs in a coroutine.
+    /// Accepts client connections until the door is shut; runs in a coroutine.
     pub fn run(self: &Arc<Self>, door: &Door) {
         while let Some(link) = door.accept() {
             // A full table keeps new sockets waiting, and those behind them at the door, until others have made room:
@@ -276,8 +276,8 @@
         (turns.spoken, turns.used) = (true, true);
     }
 
-    fn admit(self: &Arc<Self>, link: Link, begun: Vec<u8>) -> Arc<FrontSocket> {
-        let socket = FrontSocket::new(link, Holding::of(&self.unread));
+    fn admit(self: &Arc<Self>, link: Link, begun: Vec<u8>) -> Arc<ClientConnection> {
+        let socket = ClientConnection::new(link, Holding::of(&self.unread));
         let number = {
             let mut sockets = locked(&self.sockets);
             sockets.next += 1;
@@ -293,7 +293,7 @@
         socket
     }
 
-    /// Lets nothing in from now on, and passes each front socket on once it is between requests. Called on the worker, no
+    /// Lets nothing in from now on, and passes each client connection on once it is between requests. Called on the worker, no
     /// request is half taken when it returns.
     pub fn pass_on(&self, heir: Arc<Heir>) {
         *locked(&self.heir) = Some(heir);
@@ -319,13 +319,13 @@
         }
     }
 
-    /// Closes every front socket as soon as it is between requests.
+    /// Closes every client connection as soon as it is between requests.
     pub fn close(&self) {
         self.closing.store(true, Ordering::Release);
         self.wake_all();
     }
 
-    /// Front sockets that are open.
+    /// Client connections that are open.
     pub fn open(&self) -> usize {
         self.open_sockets().len()
     }
@@ -362,7 +362,7 @@
         if count == 0 {
             return;
         }
-        let mut idle: Vec<(Duration, Arc<FrontSocket>)> = Vec::new();
+        let mut idle: Vec<(Duration, Arc<ClientConnection>)> = Vec::new();
         for socket in self.open_sockets() {
             let span = {
                 let turns = locked(&socket.turns);
@@ -382,12 +382,12 @@
         }
     }
 
-    fn open_sockets(&self) -> Vec<Arc<FrontSocket>> {
+    fn open_sockets(&self) -> Vec<Arc<ClientConnection>> {
         locked(&self.sockets).open.values().filter(|s| !s.link.is_closed()).cloned().collect()
     }
 
     /// Reads commands until the client leaves or cannot be understood.
-    fn serve(self: &Arc<Self>, socket: &Arc<FrontSocket>, begun: Vec<u8>) {
+    fn serve(self: &Arc<Self>, socket: &Arc<ClientConnection>, begun: Vec<u8>) {
         match self.read(socket, begun) {
             End::Error(text) => self.end(socket, text),
             End::PassedOn => return,
@@ -405,7 +405,7 @@
     }
 
     /// Reads and takes commands, `begun` first; returns how the socket ends.
-    fn read(self: &Arc<Self>, socket: &Arc<FrontSocket>, begun: Vec<u8>) -> End {
+    fn read(self: &Arc<Self>, socket: &Arc<ClientConnection>, begun: Vec<u8>) -> End {
         let mut buffer = begun;
         let mut half = Holding::of(&self.half);
         loop {
@@ -482,7 +482,7 @@
 
     /// Has the socket end whose request has been half sent for longest, among those that hold much.
     fn make_room_for_half(&self) {
-        let since = |socket: &Arc<FrontSocket>| {
+        let since = |socket: &Arc<ClientConnection>| {
             let turns = locked(&socket.turns);
             turns.partial.filter(|_| turns.held_half >= USUAL && !turns.too_large)
         };
@@ -496,7 +496,7 @@
 
     /// Waits until all that was taken here has its answer, then passes the connection on. What a client sends meanwhile stays
     /// unread for whoever goes on. Tells whether it is passed on; it is not where the front reads on, or the client left.
-    fn hand_on(&self, socket: &FrontSocket, buffer: &mut Vec<u8>) -> bool {
+    fn hand_on(&self, socket: &ClientConnection, buffer: &mut Vec<u8>) -> bool {
         loop {
             let heir = locked(&self.heir).clone();
             let Some(heir) = heir else { return false };
@@ -513,7 +513,7 @@
     }
 
     /// What a socket that was woken should do; `None` for going on.
-    fn look(&self, socket: &FrontSocket) -> Option<End> {
+    fn look(&self, socket: &ClientConnection) -> Option<End> {
         let mut turns = locked(&socket.turns);
         if self.closing.load(Ordering::Acquire) && turns.partial.is_none() {
             turns.end();
@@ -532,7 +532,7 @@
 
     /// Says an error in its turn, once all that was taken before has its answer, and ends the socket. What still comes
     /// is not looked at.
-    fn end(&self, socket: &FrontSocket, text: &str) {
+    fn end(&self, socket: &ClientConnection, text: &str) {
         let turn = {
             let mut turns = locked(&socket.turns);
             turns.end();
@@ -543,7 +543,7 @@
     }
 
     /// Takes nothing more, has all that was taken answered, and then ends the socket so that no answer is lost.
-    fn finish(&self, socket: &FrontSocket) {
+    fn finish(&self, socket: &ClientConnection) {
         // Read on for a while, to see the client leave; a client that sends without end is left to the system.
         let mut unread = Vec::new();
         for _ in 0..8 {
@@ -566,7 +566,7 @@
     /// Takes a command in its turn; tells whether it could be used.
     fn take(
         self: &Arc<Self>,
-        socket: &Arc<FrontSocket>,
+        socket: &Arc<ClientConnection>,
         raw: &[u8],
         words: &[std::ops::Range<usize>],
     ) -> bool {
@@ -614,15 +614,15 @@
     }
 
     /// Keeps an answer for its turn, and writes those whose turn has come.
-    fn answer(&self, socket: &FrontSocket, turn: u64, bytes: Vec<u8>) {
+    fn answer(&self, socket: &ClientConnection, turn: u64, bytes: Vec<u8>) {
         let _held = Holding::new(&self.whole, bytes.len());
         socket.fill(turn, Turn::Answered { bytes, _held });
         self.write(socket);
     }
 
     /// Keeps an answer that goes on for its turn, and writes what may be written of it whenever there is more.
-    fn pass(self: &Arc<Self>, socket: &Arc<FrontSocket>, turn: u64, stream: StreamOut) {
-        let write = |front: &Arc<Self>, socket: &Arc<FrontSocket>| {
+    fn pass(self: &Arc<Self>, socket: &Arc<ClientConnection>, turn: u64, stream: StreamOut) {
+        let write = |front: &Arc<Self>, socket: &Arc<ClientConnection>| {
             let (front, socket) = (Arc::downgrade(front), Arc::downgrade(socket));
             move || {
                 if let (Some(front), Some(socket)) = (front.upgrade(), socket.upgrade()) {
@@ -637,7 +637,7 @@
     }
 
     /// Writes the answers whose turn has come.
-    fn write(&self, socket: &FrontSocket) {
+    fn write(&self, socket: &ClientConnection) {
         let mut turns = locked(&socket.turns);
         let mut whole = Vec::new();
         let mut broken = false;
--- a/crates/settings/src/appliance.rs
+++ b/crates/settings/src/appliance.rs
@@ -215,7 +215,7 @@
     pub connect_ms: u64,
     /// An idle connection to a destination is closed after this.
     pub idle_ms: u64,
-    /// Route steps of one operation.
+    /// Attempts of one operation.
     pub route_steps: u32,
     /// A request must be whole, and an answer taken, by then.
     pub patience_ms: u64,
--- a/crates/snowfield/src/fleet.rs
+++ b/crates/snowfield/src/fleet.rs
@@ -27,7 +27,7 @@
     known: Mutex<Known>,
     cluster: OnceLock<Arc<Cluster>>,
     watches: OnceLock<Vec<Arc<Watch>>>,
-    /// Numbers with route steps out, as of the last sweep.
+    /// Numbers with attempts out, as of the last sweep.
     busy: Arc<Mutex<HashSet<u32>>>,
     /// More than one: ids are told apart by their service.
     services: Vec<String>,
@@ -171,14 +171,14 @@
             let (entries, origin) = watch.shown();
             let _ = writeln!(out, "destinations of {}  from {origin}", watch.service());
             for (id, number, word, takes_work) in entries.iter().take(MOST_SHOWN) {
-                let steps = status.destinations.get(number).map_or(0, |d| d.1);
+                let attempts = status.destinations.get(number).map_or(0, |d| d.1);
                 let probed = by_probes.contains(&self.name(service, id));
                 let word = match (takes_work, probed) {
                     (true, true) => "out by its probes".to_owned(),
                     (true, false) => word.clone(),
                     (false, _) => format!("no new work: {word}"),
                 };
-                let _ = writeln!(out, "  {id}  {word}  route steps out {steps}");
+                let _ = writeln!(out, "  {id}  {word}  attempts out {attempts}");
             }
             if entries.len() > MOST_SHOWN {
                 let _ = writeln!(out, "  and {} more", entries.len() - MOST_SHOWN);
--- a/crates/snowfield/src/platform.rs
+++ b/crates/snowfield/src/platform.rs
@@ -256,7 +256,7 @@
             let _ = tell.try_send(());
         });
     });
-    // Route steps take few connections, clients hold on to many: a front socket may use any descriptor that no route step
+    // Attempts take few connections, clients hold on to many: a client connection may use any descriptor that no attempt
     // uses, but for some that stay free for these.
     let (room, kept) = (pools.clone(), sockets / 6);
     let front = Front::new(exchange.clone(), rules, config.memory, move || {
--- a/crates/snowfield/src/signals.rs
+++ b/crates/snowfield/src/signals.rs
@@ -1,5 +1,5 @@
 //! How the program is told to reload and to end: on SIGHUP it takes a new configuration while it serves; at the end it
-//! serves the overlap, closes front sockets between requests, and answers what it took.
+//! serves the overlap, closes client connections between requests, and answers what it took.
 
 use link::Door;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -27,7 +27,7 @@
     }
     /// Has the front close each socket once it is between requests.
     fn close(&self);
-    /// How many front sockets are left.
+    /// How many client connections are left.
     fn open(&self) -> usize;
     /// No operation can be unanswered for longer than this.
     fn longest(&self) -> Duration;
@@ -62,5 +62,5 @@
     while serving.open() > 0 && begun.elapsed() < longest + LAST_CALL {
         std::thread::sleep(LOOK);
     }
-    tracing::info!("stopped with {} front sockets open", serving.open());
+    tracing::info!("stopped with {} client connections open", serving.open());
 }
--- a/crates/snowfield/src/upgrade.rs
+++ b/crates/snowfield/src/upgrade.rs
@@ -202,7 +202,7 @@
         });
         let (tell, told) = channel();
         let (parts, shut) = (self.clone(), door.clone());
-        // On the worker, between two steps of any front socket: no request is let in after the state was taken.
+        // On the worker, between two steps of any client connection: no request is let in after the state was taken.
         spawn_with(link::LARGE_STACK, move || {
             shut.hold(true);
             parts.front.pass_on(heir);
--- a/crates/snowfield/tests/appliance.rs
+++ b/crates/snowfield/tests/appliance.rs
@@ -192,7 +192,7 @@
         "POST    /v1/loans/{loan}  cost 2  served 1  busy 0  failed 0  units 2",
         "al-noor  plan basic  units 26",
         "sohar  plan basic  units 0",
-        "passing  route steps out 0",
+        "passing  attempts out 0",
     ] {
         assert!(status.contains(line), "{line}\n{status}");
     }
--- a/crates/snowfield/tests/platform.rs
+++ b/crates/snowfield/tests/platform.rs
@@ -109,7 +109,7 @@
 }
 
 /// Guards usual clients at a restart of another gatekeeper, when all come at once: the table must use the descriptors that
-/// route steps leave free, and sockets that brought nothing but errors must not fill it.
+/// attempts leave free, and sockets that brought nothing but errors must not fill it.
 #[test]
 fn a_table_takes_what_is_free_and_bad_clients_do_not_fill_it() {
     let site = site("table", &Shape { sockets: 96, ..Shape::default() });
