A wait ends a row of reads: each connection had rested for 1 ms at every sixteenth message

Cause: a read that finds nothing is no longer repeated, and it was the one that ended the row of reads without a wait (BURST), so that every sixteenth receive slept. Lines: Link::receive. Change: the row ends where the link waits.

--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -313,11 +313,12 @@
                 if end {
                     return Ok(Incoming::End);
                 }
-                self.streak.store(0, Ordering::Relaxed);
                 if woken {
+                    self.streak.store(0, Ordering::Relaxed);
                     return Ok(Incoming::Woken);
                 }
             }
+            self.streak.store(0, Ordering::Relaxed);
             self.note(self.stream.wait_io());
         }
     }
