A long command that became whole in time gets no error behind its answer; one reading of cold windows

Read again: a connection chosen to make room could become whole before it heard of it, and had an error and its end behind the answer. And the two figures of the fleet's model walked the same windows twice; they share one walk now.

--- a/crates/front_resp/src/lib.rs
+++ b/crates/front_resp/src/lib.rs
@@ -439,6 +439,8 @@
                 let since = turns.partial.filter(|_| at == 0).unwrap_or_else(Instant::now);
                 turns.partial = (!buffer.is_empty()).then_some(since);
                 turns.held_half = buffer.len();
+                // One that has become whole in time is not owed an error.
+                turns.too_large &= turns.partial.is_some();
                 if turns.turns.len() > MOST_TURNS {
                     return End::Error("too many commands at once");
                 }
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -150,41 +150,30 @@
         (self.settings.cold_share + (1.0 - self.settings.cold_share) * age).min(1.0)
     }
 
-    /// The largest part of the cold rule's budget that was sent to one backend in any of its windows.
-    pub fn cold_budget_used(&self, id: u32) -> f64 {
+    /// What was sent to a cold backend in each window that begins with a send, and the rule's budget for that.
+    fn cold_windows(&self, id: u32) -> Vec<(f64, f64)> {
         let (s, span) = (&self.servers[&id], self.settings.fall_span);
         let carries = 2.0 * SECOND as f64 / self.shape.work;
         let times: Vec<Micros> = self.sends.iter().filter(|x| x.2 == id).map(|x| x.0).collect();
-        let mut worst: f64 = 0.0;
-        for (i, &from) in times.iter().enumerate() {
-            let warmth = self.warmth(s, from);
-            if warmth >= 1.0 {
-                break;
-            }
+        let cold = times.iter().enumerate().take_while(|&(_, &from)| self.warmth(s, from) < 1.0);
+        let window = |(i, &from): (usize, &Micros)| {
             let sent = times[i..].iter().take_while(|&&t| t < from + span).count() as f64;
-            let budget = self.settings.overload_factor * warmth * carries * span as f64 / SECOND as f64;
-            worst = worst.max(sent / budget);
-        }
-        worst
+            let part = self.settings.overload_factor * self.warmth(s, from);
+            (sent, part * carries * span as f64 / SECOND as f64)
+        };
+        cold.map(window).collect()
+    }
+
+    /// The largest part of the cold rule's budget that was sent to one backend in any of its windows.
+    pub fn cold_budget_used(&self, id: u32) -> f64 {
+        self.cold_windows(id).into_iter().map(|(sent, budget)| sent / budget).fold(0.0, f64::max)
     }
 
     /// How far what was sent to a cold backend went beyond the rule's budget of N in its worst window, in parts of what counts
     /// as chance: 2 x root of N + 2.
     pub fn cold_excess(&self, id: u32) -> f64 {
-        let (s, span) = (&self.servers[&id], self.settings.fall_span);
-        let carries = 2.0 * SECOND as f64 / self.shape.work;
-        let times: Vec<Micros> = self.sends.iter().filter(|x| x.2 == id).map(|x| x.0).collect();
-        let mut worst: f64 = 0.0;
-        for (i, &from) in times.iter().enumerate() {
-            let warmth = self.warmth(s, from);
-            if warmth >= 1.0 {
-                break;
-            }
-            let sent = times[i..].iter().take_while(|&&t| t < from + span).count() as f64;
-            let budget = self.settings.overload_factor * warmth * carries * span as f64 / SECOND as f64;
-            worst = worst.max((sent - budget) / (2.0 * budget.sqrt() + 2.0));
-        }
-        worst
+        let excess = |(sent, budget): (f64, f64)| (sent - budget) / (2.0 * budget.sqrt() + 2.0);
+        self.cold_windows(id).into_iter().map(excess).fold(0.0, f64::max)
     }
 
     /// How many backends a gateway has sent to since a time, in the mean over gateways.
