Keep what is held of a half request in one place

Read again: the bytes stood twice, as a number beside the turns and as the reader's own holding. The holding stands with the turns now, as that of unread answers does.

--- a/crates/front_resp/src/lib.rs
+++ b/crates/front_resp/src/lib.rs
@@ -107,7 +107,7 @@
     /// Since when a command is not whole.
     partial: Option<Instant>,
     /// Bytes of it.
-    held_half: usize,
+    half: Holding,
     /// Since when no command waits for its turn.
     idle: Instant,
     /// A command has come that can be used.
@@ -156,13 +156,13 @@
 }
 
 impl ClientConnection {
-    fn new(link: Link, unread: Holding) -> Arc<Self> {
+    fn new(link: Link, half: Holding, unread: Holding) -> Arc<Self> {
         let turns = Turns {
             first: 0,
             turns: VecDeque::new(),
             waiting: 0,
             partial: None,
-            held_half: 0,
+            half,
             idle: Instant::now(),
             spoken: false,
             used: false,
@@ -277,7 +277,7 @@
     }
 
     fn admit(self: &Arc<Self>, link: Link, begun: Vec<u8>) -> Arc<ClientConnection> {
-        let socket = ClientConnection::new(link, Holding::of(&self.unread));
+        let socket = ClientConnection::new(link, Holding::of(&self.half), Holding::of(&self.unread));
         let number = {
             let mut sockets = locked(&self.sockets);
             sockets.next += 1;
@@ -407,7 +407,6 @@
     /// Reads and takes commands, `begun` first; returns how the socket ends.
     fn read(self: &Arc<Self>, socket: &Arc<ClientConnection>, begun: Vec<u8>) -> End {
         let mut buffer = begun;
-        let mut half = Holding::of(&self.half);
         loop {
             if self.frozen.load(Ordering::Acquire) && self.hand_on(socket, &mut buffer) {
                 return End::PassedOn;
@@ -438,7 +437,7 @@
                 let mut turns = locked(&socket.turns);
                 let since = turns.partial.filter(|_| at == 0).unwrap_or_else(Instant::now);
                 turns.partial = (!buffer.is_empty()).then_some(since);
-                turns.held_half = buffer.len();
+                turns.half.set(buffer.len());
                 // One that has become whole in time is not owed an error.
                 turns.too_large &= turns.partial.is_some();
                 if turns.turns.len() > MOST_TURNS {
@@ -450,7 +449,6 @@
                     return End::Last;
                 }
             }
-            half.set(buffer.len());
             if errors {
                 sleep(PENALTY);
             } else if commands > AT_ONCE {
@@ -486,7 +484,7 @@
     fn make_room_for_half(&self) {
         let since = |socket: &Arc<ClientConnection>| {
             let turns = locked(&socket.turns);
-            turns.partial.filter(|_| turns.held_half >= USUAL && !turns.too_large)
+            turns.partial.filter(|_| turns.half.bytes() >= USUAL && !turns.too_large)
         };
         let sockets = self.open_sockets();
         let oldest = sockets.iter().filter_map(|s| Some((since(s)?, s))).min_by_key(|(since, _)| *since);
@@ -725,6 +723,8 @@
     fn end(&mut self) {
         self.ending = true;
         self.partial = None;
+        // What was read of a request is given back with the reader's buffer.
+        self.half.set(0);
         self.idle = Instant::now();
     }
 
