--- /dev/null
+++ b/crates/fault_shim/src/control.rs
@@ -0,0 +1,60 @@
+//! The control block as this process maps it, and the draw whether a call fails.
+
+use fault_shim_control::{CONTROL_BYTES, CONTROL_VARIABLE, RATE_SCALE, Setting};
+use std::ffi::CString;
+use std::ptr::null_mut;
+use std::sync::OnceLock;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// The mapped block; none where the process was started without one.
+static BLOCK: OnceLock<Option<&'static [AtomicU64]>> = OnceLock::new();
+/// Advances with each draw.
+static DRAWS: AtomicU64 = AtomicU64::new(0);
+
+fn map_block() -> Option<&'static [AtomicU64]> {
+    let path = CString::new(std::env::var(CONTROL_VARIABLE).ok()?).ok()?;
+    // SAFETY: the path ends in a zero byte; the mapping lives as long as the process, is never changed by it, and is as long and
+    // as aligned as the slice says.
+    unsafe {
+        let descriptor =
+            libc::syscall(libc::SYS_openat, libc::AT_FDCWD, path.as_ptr(), libc::O_RDONLY) as i32;
+        if descriptor < 0 {
+            return None;
+        }
+        let block = libc::mmap(null_mut(), CONTROL_BYTES, libc::PROT_READ, libc::MAP_SHARED, descriptor, 0);
+        libc::syscall(libc::SYS_close, descriptor);
+        if block == libc::MAP_FAILED {
+            return None;
+        }
+        Some(std::slice::from_raw_parts(block.cast::<AtomicU64>(), CONTROL_BYTES / size_of::<AtomicU64>()))
+    }
+}
+
+/// The value of a setting now.
+pub(crate) fn setting(setting: Setting) -> u64 {
+    let block = BLOCK.get_or_init(map_block);
+    block.map_or(0, |block| block[setting as usize].load(Ordering::Relaxed))
+}
+
+/// A well-mixed number for each call (the finaliser of SplitMix64).
+pub(crate) fn draw() -> u64 {
+    let seed = u64::from(std::process::id()) << 32;
+    let value = (seed ^ DRAWS.fetch_add(1, Ordering::Relaxed)).wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
+
+/// Whether a call with this rate fails.
+pub(crate) fn fails(rate: Setting) -> bool {
+    let rate = setting(rate);
+    rate > 0 && draw() % RATE_SCALE < rate
+}
+
+/// Fails a call with one of these errors.
+pub(crate) fn fail(errors: &[i32]) -> i32 {
+    let error = errors[(draw() % errors.len() as u64) as usize];
+    // SAFETY: the location is this thread's.
+    unsafe { *libc::__errno_location() = error };
+    -1
+}
--- /dev/null
+++ b/crates/fault_shim/src/files.rs
@@ -0,0 +1,84 @@
+//! Files: a disk that takes nothing for a while.
+
+use crate::control::{fail, fails};
+use crate::descriptors::{Kind, is, note};
+use crate::next::Next;
+use fault_shim_control::Setting;
+use libc::{c_char, c_int, c_void, mode_t, size_t, ssize_t};
+
+static OPEN64: Next = Next::new(c"open64");
+static WRITE: Next = Next::new(c"write");
+static FSYNC: Next = Next::new(c"fsync");
+static FDATASYNC: Next = Next::new(c"fdatasync");
+static RENAME: Next = Next::new(c"rename");
+
+type Open = unsafe extern "C" fn(*const c_char, c_int, mode_t) -> c_int;
+type Write = unsafe extern "C" fn(c_int, *const c_void, size_t) -> ssize_t;
+type Sync = unsafe extern "C" fn(c_int) -> c_int;
+type Rename = unsafe extern "C" fn(*const c_char, *const c_char) -> c_int;
+
+/// A full disk, and a broken one.
+const DISK_ERRORS: [i32; 2] = [libc::ENOSPC, libc::EIO];
+
+/// # Safety
+///
+/// As `open(2)`, always called with a mode: without one it is not looked at.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn open64(path: *const c_char, flags: c_int, mode: mode_t) -> c_int {
+    let is_written = flags & libc::O_ACCMODE != libc::O_RDONLY;
+    if is_written && fails(Setting::FileOpenFailure) {
+        return fail(&DISK_ERRORS);
+    }
+    // SAFETY: the type is the function's, and the arguments are the caller's.
+    let descriptor = unsafe { OPEN64.get::<Open>()(path, flags, mode) };
+    note(descriptor, if is_written { Kind::WrittenFile } else { Kind::Other });
+    descriptor
+}
+
+/// # Safety
+///
+/// As `write(2)`.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn write(descriptor: c_int, from: *const c_void, length: size_t) -> ssize_t {
+    if is(descriptor, Kind::WrittenFile) && fails(Setting::FileWriteFailure) {
+        return fail(&DISK_ERRORS) as ssize_t;
+    }
+    // SAFETY: the type is the function's, and the arguments are the caller's.
+    unsafe { WRITE.get::<Write>()(descriptor, from, length) }
+}
+
+/// # Safety
+///
+/// As `fsync(2)`.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn fsync(descriptor: c_int) -> c_int {
+    if fails(Setting::FileSyncFailure) {
+        return fail(&DISK_ERRORS);
+    }
+    // SAFETY: the type is the function's, and the arguments are the caller's.
+    unsafe { FSYNC.get::<Sync>()(descriptor) }
+}
+
+/// # Safety
+///
+/// As `fdatasync(2)`.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn fdatasync(descriptor: c_int) -> c_int {
+    if fails(Setting::FileSyncFailure) {
+        return fail(&DISK_ERRORS);
+    }
+    // SAFETY: the type is the function's, and the arguments are the caller's.
+    unsafe { FDATASYNC.get::<Sync>()(descriptor) }
+}
+
+/// # Safety
+///
+/// As `rename(2)`.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn rename(from: *const c_char, to: *const c_char) -> c_int {
+    if fails(Setting::FileRenameFailure) {
+        return fail(&DISK_ERRORS);
+    }
+    // SAFETY: the type is the function's, and the arguments are the caller's.
+    unsafe { RENAME.get::<Rename>()(from, to) }
+}
--- /dev/null
+++ b/crates/fault_shim/src/lib.rs
@@ -0,0 +1,12 @@
+//! A library for `LD_PRELOAD` that makes system calls of a process under test fail as Linux documents, and steps its wall clock.
+//!
+//! What fails how often is read from the control block (package `fault_shim_control`) at each call. Without one, or with no fault
+//! set, every call goes through. Only what a gatekeeper calls is interposed: the functions that the standard library, `may` and
+//! `socket2` use for TCP sockets, waits, files and clocks.
+
+mod clock;
+mod control;
+mod descriptors;
+mod files;
+mod next;
+mod sockets;
