--- /dev/null
+++ b/crates/platform_soak/src/checkers.rs
@@ -0,0 +1,77 @@
+//! The invariants. Each checker reads the records and names what breaks its rule.
+
+mod attempts;
+mod endpoints;
+mod processes;
+mod quotas;
+mod requests;
+mod slow_start;
+
+use crate::history::{GatekeeperIndex, Moment, ProcessEvent, Records};
+use crate::settings::Settings;
+use std::fmt;
+use std::time::Duration;
+
+/// The longest time for which a gatekeeper may be held up between reading its clock and writing.
+pub(crate) const HOLD_UP: Duration = Duration::from_millis(150);
+
+/// A broken invariant.
+#[derive(Clone, Debug)]
+pub struct Violation {
+    /// The rule, in a few words that never change.
+    pub rule: &'static str,
+    /// When it was broken.
+    pub at: Moment,
+    /// By which gatekeeper, where that is known.
+    pub gatekeeper: Option<GatekeeperIndex>,
+    /// What happened, with ids.
+    pub text: String,
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let gatekeeper = self.gatekeeper.map_or(String::new(), |index| format!(" n{index}"));
+        write!(f, "{:7.3} s{gatekeeper}: {}: {}", self.at.as_secs_f64(), self.rule, self.text)
+    }
+}
+
+/// All broken invariants, in the order of time.
+pub fn check_all(records: &Records, settings: &Settings) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    violations.extend(processes::check(records));
+    violations.extend(requests::check(records));
+    violations.extend(attempts::check(records, settings));
+    violations.extend(endpoints::check(records, settings));
+    violations.extend(quotas::check(records, settings));
+    violations.extend(slow_start::check(records, settings));
+    violations.sort_by_key(|violation| violation.at);
+    violations
+}
+
+impl Records {
+    /// By how much the harness itself was late at most in this time: what it records may be as late.
+    pub(crate) fn harness_delay(&self, from: Moment, to: Moment) -> Duration {
+        let overlaps = |&&(at, delay): &&(Moment, Duration)| at >= from && at.saturating_sub(delay) <= to;
+        self.delays.iter().filter(overlaps).map(|(_, delay)| *delay).max().unwrap_or_default()
+    }
+
+    /// For how long a gatekeeper was suspended in this time.
+    pub(crate) fn suspended(&self, gatekeeper: GatekeeperIndex, from: Moment, to: Moment) -> Duration {
+        let of_this = self.processes.iter().filter(|record| record.gatekeeper == gatekeeper);
+        let suspended = of_this.filter_map(|record| match record.event {
+            ProcessEvent::Suspended { from: since } => {
+                Some(record.at.min(to).saturating_sub(since.max(from)))
+            }
+            _ => None,
+        });
+        suspended.sum()
+    }
+
+    /// Whether a process of a gatekeeper was killed in this time.
+    pub(crate) fn was_killed(&self, gatekeeper: GatekeeperIndex, from: Moment, to: Moment) -> bool {
+        self.processes.iter().any(|record| {
+            let is_kill = record.event == ProcessEvent::Killed;
+            is_kill && record.gatekeeper == gatekeeper && record.at >= from && record.at <= to
+        })
+    }
+}
--- /dev/null
+++ b/crates/platform_soak/src/checkers/attempts.rs
@@ -0,0 +1,136 @@
+//! Attempts: nothing for a client that has gone, no more time than it has left, and repeats only as the class permits.
+
+use super::{HOLD_UP, Violation};
+use crate::history::{AttemptOutcome, AttemptRecord, Moment, Records, RequestNumber, RequestRecord};
+use crate::settings::{Effect, Settings};
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// No attempt begins later than this after its client has closed.
+const GONE_LIMIT: Duration = Duration::from_millis(100);
+/// For the way over loopback and the stand-ins' threads.
+const TRANSPORT: Duration = Duration::from_millis(5);
+
+pub(super) fn check(records: &Records, settings: &Settings) -> Vec<Violation> {
+    let requests: HashMap<RequestNumber, &RequestRecord> =
+        records.requests.iter().map(|request| (request.number, request)).collect();
+    let mut by_request: HashMap<RequestNumber, Vec<&AttemptRecord>> = HashMap::new();
+    for attempt in &records.attempts {
+        by_request.entry(attempt.request).or_default().push(attempt);
+    }
+    let mut violations = Vec::new();
+    for (number, mut attempts) in by_request {
+        attempts.sort_by_key(|attempt| attempt.arrived);
+        // A request whose record is missing was resent and lost with its gatekeeper.
+        let Some(request) = requests.get(&number) else { continue };
+        for attempt in &attempts {
+            violations.extend(check_client_left(records, request, attempt));
+            violations.extend(check_time_left(records, request, attempt));
+        }
+        let Some(class) = settings.classes.get(request.class) else { continue };
+        // On a new connection the client sends the whole request again: then two processes may each have one attempt.
+        if !request.was_resent {
+            violations.extend(check_repeats(records, class.effect, &attempts));
+            violations.extend(check_count(settings, &attempts));
+        }
+    }
+    violations
+}
+
+fn violation(rule: &'static str, attempt: &AttemptRecord, text: String) -> Violation {
+    Violation {
+        rule,
+        at: attempt.arrived,
+        gatekeeper: Some(attempt.request.gatekeeper()),
+        text: format!("request {} at s-{:04} {text}", attempt.request.text(), attempt.backend),
+    }
+}
+
+fn check_client_left(
+    records: &Records,
+    request: &RequestRecord,
+    attempt: &AttemptRecord,
+) -> Option<Violation> {
+    let left = request.left?;
+    let gatekeeper = attempt.request.gatekeeper();
+    let slack = TRANSPORT
+        + records.harness_delay(left, attempt.arrived)
+        + records.suspended(gatekeeper, left, attempt.arrived);
+    let after = attempt.began.checked_sub(left)?;
+    let text = format!("began {:.3} s after its client had closed", after.as_secs_f64());
+    (after > GONE_LIMIT + slack).then(|| violation("nothing for a client that has gone", attempt, text))
+}
+
+fn check_time_left(records: &Records, request: &RequestRecord, attempt: &AttemptRecord) -> Option<Violation> {
+    let ends = request.sent + request.time;
+    let left = ends.saturating_sub(attempt.arrived);
+    let slack = HOLD_UP + TRANSPORT + records.harness_delay(request.sent, attempt.arrived);
+    let text = format!(
+        "was told {} ms, and its client had {} ms left",
+        attempt.time_left.as_millis(),
+        left.as_millis()
+    );
+    (attempt.time_left > left + slack).then(|| violation("the deadline passed on", attempt, text))
+}
+
+fn may_have_run(attempt: &AttemptRecord) -> bool {
+    attempt.outcome != AttemptOutcome::Rejected
+}
+
+fn check_repeats(records: &Records, effect: Effect, attempts: &[&AttemptRecord]) -> Vec<Violation> {
+    if effect == Effect::Idempotent {
+        return Vec::new();
+    }
+    let mut violations = Vec::new();
+    for (index, attempt) in attempts.iter().enumerate().skip(1) {
+        let earlier = &attempts[..index];
+        if let Some(first) = earlier.iter().find(|earlier| may_have_run(earlier)) {
+            violations.extend(check_repeat(records, effect, first, attempt));
+        }
+        let is_out =
+            |earlier: &&&AttemptRecord| earlier.ended.is_none_or(|ended| ended > attempt.arrived + TRANSPORT);
+        if effect == Effect::Unsafe && earlier.iter().any(|earlier| is_out(&earlier)) {
+            violations.push(violation("never two attempts out", attempt, "came beside another".to_owned()));
+        }
+    }
+    violations
+}
+
+fn check_repeat(
+    records: &Records,
+    effect: Effect,
+    first: &AttemptRecord,
+    attempt: &AttemptRecord,
+) -> Option<Violation> {
+    let after = attempt.arrived.saturating_sub(first.began);
+    match effect {
+        Effect::Idempotent => None,
+        Effect::Unsafe => {
+            let text = format!("was repeated after {:.3} s", after.as_secs_f64());
+            Some(violation("an unsafe class is repeated only if it never ran", attempt, text))
+        }
+        Effect::Keyed { window } => {
+            let slack = TRANSPORT + records.harness_delay(first.began, attempt.arrived);
+            let text = format!("was repeated after {} of {} ms", after.as_millis(), window.as_millis());
+            (after > window + slack).then(|| violation("the window of a key", attempt, text))
+        }
+    }
+}
+
+fn check_count(settings: &Settings, attempts: &[&AttemptRecord]) -> Option<Violation> {
+    let last = attempts.get(settings.max_attempts as usize)?;
+    let text = format!("was attempt {} of at most {}", attempts.len(), settings.max_attempts);
+    Some(violation("the number of attempts", last, text))
+}
+
+/// The time of the first attempt of each request, in order.
+pub(super) fn first_arrivals(records: &Records) -> Vec<(Moment, RequestNumber)> {
+    let mut first: HashMap<RequestNumber, Moment> = HashMap::new();
+    for attempt in &records.attempts {
+        let at = first.entry(attempt.request).or_insert(attempt.arrived);
+        *at = (*at).min(attempt.arrived);
+    }
+    let mut arrivals: Vec<_> = first.into_iter().map(|(number, at)| (at, number)).collect();
+    arrivals.sort();
+    arrivals
+}
--- /dev/null
+++ b/crates/platform_soak/src/checkers/processes.rs
@@ -0,0 +1,63 @@
+//! Processes: none ends unasked or panics, each ends with status 0 when it is told to, starts in time, and reports no broken
+//! invariant of its own.
+
+use super::Violation;
+use crate::history::{Moment, ProcessEvent, ProcessRecord, Records};
+use std::time::Duration;
+
+/// A process serves within this.
+const START_LIMIT: Duration = Duration::from_secs(10);
+
+pub(super) fn check(records: &Records) -> Vec<Violation> {
+    let mut violations: Vec<Violation> = Vec::new();
+    for record in &records.processes {
+        let found = match &record.event {
+            ProcessEvent::Exited { status } => exit(records, record, *status),
+            ProcessEvent::Started { .. } => slow_start_up(records, record),
+            ProcessEvent::Violation { line } => {
+                Some(("no invariant broken by its own account", line.clone()))
+            }
+            ProcessEvent::Panicked { line } => Some(("no panic", line.clone())),
+            _ => None,
+        };
+        violations.extend(found.map(|(rule, text)| Violation {
+            rule,
+            at: record.at,
+            gatekeeper: Some(record.gatekeeper),
+            text,
+        }));
+    }
+    violations
+}
+
+fn same_process<'a>(records: &'a Records, of: &'a ProcessRecord) -> impl Iterator<Item = &'a ProcessRecord> {
+    let is_same = |other: &&ProcessRecord| other.gatekeeper == of.gatekeeper && other.process == of.process;
+    records.processes.iter().filter(is_same)
+}
+
+fn exit(records: &Records, record: &ProcessRecord, status: Option<i32>) -> Option<(&'static str, String)> {
+    let has = |event: &ProcessEvent| {
+        same_process(records, record).any(|other| other.event == *event && other.at <= record.at)
+    };
+    if has(&ProcessEvent::Killed) {
+        return None;
+    }
+    if !has(&ProcessEvent::Terminated) {
+        return Some(("no exit unasked", format!("process {} ended with {status:?}", record.process)));
+    }
+    (status != Some(0)).then(|| ("a clean exit", format!("process {} ended with {status:?}", record.process)))
+}
+
+fn slow_start_up(records: &Records, started: &ProcessRecord) -> Option<(&'static str, String)> {
+    let at = |event: fn(&ProcessEvent) -> bool| -> Option<Moment> {
+        same_process(records, started).find(|other| event(&other.event)).map(|other| other.at)
+    };
+    let ready = at(|event| *event == ProcessEvent::Ready);
+    let asked_to_end = at(|event| matches!(event, ProcessEvent::Killed | ProcessEvent::Terminated));
+    let took = match (ready, asked_to_end) {
+        (Some(ready), _) => ready - started.at,
+        (None, Some(ended)) => ended - started.at,
+        (None, None) => Duration::MAX,
+    };
+    (took > START_LIMIT).then(|| ("ready in time", format!("process {} was not ready", started.process)))
+}
--- /dev/null
+++ b/crates/platform_soak/src/checkers/quotas.rs
@@ -0,0 +1,116 @@
+//! Quotas and ceilings: what all gatekeepers together forward.
+
+use super::Violation;
+use super::attempts::first_arrivals;
+use crate::history::{Moment, ProcessEvent, Records, RequestNumber};
+use crate::settings::{MAX_UNITS, Settings, Tenant};
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Quotas are judged over so long, after a second in which all learn.
+const WINDOW: Duration = Duration::from_secs(5);
+const LEARNING: Duration = Duration::from_millis(1_000);
+/// Of its rate a tenant may get this much over a window.
+const RATE_FACTOR: f64 = 1.1;
+/// The rule on ceilings is wider by what their rate gives in this time.
+const CEILING_SLACK: Duration = Duration::from_millis(150);
+
+/// What a tenant got, in the order of time.
+struct Use {
+    at: Moment,
+    units: f64,
+}
+
+pub(super) fn check(records: &Records, settings: &Settings) -> Vec<Violation> {
+    let requests: HashMap<RequestNumber, (usize, f64)> =
+        records.requests.iter().map(|request| (request.number, (request.tenant, request.units))).collect();
+    let mut uses: Vec<Vec<Use>> = settings.tenants.iter().map(|_| Vec::new()).collect();
+    for (at, number) in first_arrivals(records) {
+        if let Some(&(tenant, units)) = requests.get(&number) {
+            uses[tenant].push(Use { at, units });
+        }
+    }
+    let tenants = settings.tenants.iter().enumerate().zip(&uses);
+    tenants
+        .flat_map(|((index, tenant), uses)| {
+            let quota = check_quota(records, settings, index, tenant, uses);
+            quota.into_iter().chain(check_ceiling(records, index, tenant, uses))
+        })
+        .collect()
+}
+
+/// Processes that start in a window each have a local share of a second's quota, and of a request at least.
+fn allowance_of_starts(records: &Records, settings: &Settings, tenant: &Tenant, from: Moment) -> f64 {
+    let is_start = |event: &ProcessEvent| matches!(event, ProcessEvent::Ready);
+    let starts = records
+        .processes
+        .iter()
+        .filter(|record| is_start(&record.event) && record.at + LEARNING > from && record.at < from + WINDOW);
+    let share = (tenant.rate / settings.gatekeepers as f64).max(MAX_UNITS);
+    starts.count() as f64 * share
+}
+
+fn check_quota(
+    records: &Records,
+    settings: &Settings,
+    index: usize,
+    tenant: &Tenant,
+    uses: &[Use],
+) -> Option<Violation> {
+    let first = uses.first()?.at + LEARNING;
+    let (mut sum, mut begin) = (0.0, 0);
+    let mut worst: Option<(f64, Moment, f64)> = None;
+    for (end, use_at_end) in uses.iter().enumerate() {
+        sum += use_at_end.units;
+        while uses[begin].at + WINDOW < use_at_end.at {
+            sum -= uses[begin].units;
+            begin += 1;
+        }
+        let from = uses[begin].at;
+        if from < first || end == begin {
+            continue;
+        }
+        let allowed = RATE_FACTOR * tenant.rate * WINDOW.as_secs_f64()
+            + tenant.burst
+            + allowance_of_starts(records, settings, tenant, from);
+        if sum > allowed && worst.is_none_or(|(over, ..)| sum / allowed > over) {
+            worst = Some((sum / allowed, from, sum));
+        }
+    }
+    worst.map(|(over, from, sum)| Violation {
+        rule: "quotas of all processes together",
+        at: from,
+        gatekeeper: None,
+        text: format!(
+            "tenant {index} got {sum:.0} units in {} s, {over:.2} times what its plan of {:.0} a second and {:.0} at once allows",
+            WINDOW.as_secs(),
+            tenant.rate,
+            tenant.burst
+        ),
+    })
+}
+
+/// No window of any length holds more than the ceiling: the bucket, filled at its rate, never runs below nothing.
+fn check_ceiling(records: &Records, index: usize, tenant: &Tenant, uses: &[Use]) -> Option<Violation> {
+    if tenant.ceiling_rate <= 0.0 {
+        return None;
+    }
+    let mut last = uses.first()?.at;
+    let mut level = tenant.ceiling_burst;
+    let slack = tenant.ceiling_rate * CEILING_SLACK.as_secs_f64();
+    for taken in uses {
+        let refilled = tenant.ceiling_rate * (taken.at - last).as_secs_f64();
+        level = (level + refilled).min(tenant.ceiling_burst) - taken.units;
+        last = taken.at;
+        let late = tenant.ceiling_rate * records.harness_delay(taken.at, taken.at).as_secs_f64();
+        if level < -slack - late {
+            return Some(Violation {
+                rule: "hard ceiling",
+                at: taken.at,
+                gatekeeper: None,
+                text: format!("tenant {index} was {:.1} units over its ceiling", -level),
+            });
+        }
+    }
+    None
+}
--- /dev/null
+++ b/crates/platform_soak/src/checkers/slow_start.rs
@@ -0,0 +1,85 @@
+//! Slow start: what a backend gets that has just started, of all gatekeepers together.
+
+use super::Violation;
+use crate::history::{AttemptRecord, BackendIndex, ListedState, Moment, Records};
+use crate::settings::Settings;
+use std::time::Duration;
+
+/// A gatekeeper counts as notified of a start this long after it at the latest; within this time all are, on a day without trouble
+/// at discovery.
+const NOTIFIED_WITHIN: Duration = Duration::from_millis(300);
+/// What a backend can take is judged by what the others get, and this much more: none is at its limit.
+const CAPACITY_FACTOR: f64 = 1.25;
+
+pub(super) fn check(records: &Records, settings: &Settings) -> Vec<Violation> {
+    let starts = records.list_changes.iter().filter(|change| change.has_started);
+    starts.filter_map(|change| check_start(records, settings, change.backend, change.at)).collect()
+}
+
+fn attempts_in(records: &Records, from: Moment, to: Moment) -> impl Iterator<Item = &AttemptRecord> {
+    records.attempts.iter().filter(move |attempt| attempt.arrived >= from && attempt.arrived < to)
+}
+
+/// The most that a budget of so many calls may be passed by chance.
+fn chance(budget: f64) -> f64 {
+    if budget < 30.0 { 3.0 * budget.sqrt() + 3.0 } else { 2.0 * budget.sqrt() + 2.0 }
+}
+
+fn check_start(
+    records: &Records,
+    settings: &Settings,
+    backend: BackendIndex,
+    started: Moment,
+) -> Option<Violation> {
+    let window = settings.overload_time;
+    let mut from = started + NOTIFIED_WITHIN;
+    let last = started + settings.cold_time;
+    while from + window <= last {
+        let to = from + window;
+        let age = (to - started).as_secs_f64() / settings.cold_time.as_secs_f64();
+        let warmth = settings.cold_share + (1.0 - settings.cold_share) * age.min(1.0);
+        let ready = ready_backends(records, settings, from, to);
+        let others: usize = attempts_in(records, from, to).filter(|a| ready.contains(&a.backend)).count();
+        let capacity = CAPACITY_FACTOR * others as f64 / ready.len().max(1) as f64;
+        let budget = settings.overload_factor * warmth * capacity;
+        let got = attempts_in(records, from, to).filter(|attempt| attempt.backend == backend).count();
+        if ready.len() > 2 && got as f64 > budget + chance(budget) {
+            return Some(Violation {
+                rule: "slow start",
+                at: from,
+                gatekeeper: None,
+                text: format!(
+                    "s-{backend:04} got {got} attempts in {:.1} s, {:.1} s after its start, of a budget of {budget:.1}",
+                    window.as_secs_f64(),
+                    (from - started).as_secs_f64()
+                ),
+            });
+        }
+        from += window / 4;
+    }
+    None
+}
+
+/// Backends that are up and have been for long, in all of this time.
+fn ready_backends(records: &Records, settings: &Settings, from: Moment, to: Moment) -> Vec<BackendIndex> {
+    let is_ready = |backend: &BackendIndex| {
+        records.list_changes.iter().filter(|change| change.backend == *backend && change.at < to).all(
+            |change| {
+                let is_long_ago = change.at + settings.cold_time < from;
+                change.state == ListedState::Up && (is_long_ago || !change.has_started)
+                    || is_long_ago
+                        && change.state != ListedState::Up
+                        && is_up_again(records, *backend, change.at, from)
+            },
+        )
+    };
+    (0..settings.backends).filter(is_ready).collect()
+}
+
+fn is_up_again(records: &Records, backend: BackendIndex, after: Moment, by: Moment) -> bool {
+    let later = records
+        .list_changes
+        .iter()
+        .rfind(|change| change.backend == backend && change.at > after && change.at < by);
+    later.is_some_and(|change| change.state == ListedState::Up)
+}
--- /dev/null
+++ b/crates/platform_soak/src/client.rs
@@ -0,0 +1,303 @@
+//! Clients: most send a request and wait for its answer; some leave early, never complete a request, or give it very little time.
+
+use crate::gatekeeper::Gatekeeper;
+use crate::history::{History, PartialRequest, RequestNumber, RequestOutcome, RequestRecord};
+use crate::settings::{Effect, MAX_UNITS, Settings, plan_name};
+use fault_injection::wire;
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+/// How much longer than its time a client waits before it counts a request as unanswered.
+pub const ANSWER_GRACE: Duration = Duration::from_millis(500);
+/// Within this a request that never becomes whole is owed an error or a close.
+const PARTIAL_TIMEOUT: Duration = Duration::from_millis(3_600);
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Pause after a connection that was refused.
+const REFUSED_PAUSE: Duration = Duration::from_millis(20);
+/// The mean pause between two requests of a client, in milliseconds.
+const MEAN_PAUSE_MS: f64 = 55.0;
+/// One in so many requests comes on a new connection.
+const NEW_CONNECTION_PERIOD: u32 = 6;
+/// Very little time, in milliseconds.
+const SHORT_TIMES_MS: std::ops::Range<u64> = 2..60;
+/// Rates are parts of so many requests.
+const RATE_SCALE: u64 = 1_000;
+
+/// How badly clients behave now; parts of a thousand requests.
+#[derive(Debug, Default)]
+pub struct Behaviour {
+    /// Leave before the answer.
+    pub leaving: AtomicU64,
+    /// Never become whole.
+    pub partial: AtomicU64,
+    /// Come with very little time.
+    pub hurried: AtomicU64,
+    /// The schedule is over.
+    pub is_over: AtomicBool,
+}
+
+/// One client of a gatekeeper.
+pub struct Client {
+    /// Its gatekeeper.
+    pub gatekeeper: Arc<Gatekeeper>,
+    /// The site's settings.
+    pub settings: Arc<Settings>,
+    /// How it behaves.
+    pub behaviour: Arc<Behaviour>,
+    /// Serials of the gatekeeper's requests.
+    pub serials: Arc<AtomicU32>,
+    /// Where it records.
+    pub history: History,
+    /// Its draws.
+    pub random: fastrand::Rng,
+}
+
+/// An open connection.
+struct Connection {
+    stream: TcpStream,
+    received: Vec<u8>,
+    answered: u32,
+}
+
+/// A request as it is drawn.
+struct Draft {
+    number: RequestNumber,
+    class: usize,
+    tenant: usize,
+    units: f64,
+    time: Duration,
+    bytes: Vec<u8>,
+}
+
+/// What was read.
+enum Reply {
+    Text(String),
+    Closed,
+    Late,
+}
+
+impl Client {
+    /// Sends requests until the schedule is over.
+    pub fn run(mut self) {
+        let mut connection = None;
+        while !self.behaviour.is_over.load(Ordering::Relaxed) {
+            let pause = -MEAN_PAUSE_MS * (1.0 - self.random.f64()).ln();
+            std::thread::sleep(Duration::from_micros((pause * 1_000.0) as u64));
+            if self.random.u32(..NEW_CONNECTION_PERIOD) == 0 {
+                connection = None;
+            }
+            connection = self.send_one(connection);
+        }
+    }
+
+    fn is_drawn(&mut self, rate: impl Fn(&Behaviour) -> &AtomicU64) -> bool {
+        let rate = rate(&self.behaviour).load(Ordering::Relaxed);
+        self.random.u64(..RATE_SCALE) < rate
+    }
+
+    /// Sends one request; returns the connection if that goes on.
+    fn send_one(&mut self, connection: Option<Connection>) -> Option<Connection> {
+        let draft = self.draft();
+        let mut connection = match connection {
+            Some(connection) => connection,
+            None => self.connect()?,
+        };
+        if self.is_drawn(|behaviour| &behaviour.partial) {
+            self.send_part(&mut connection, &draft);
+            return None;
+        }
+        let is_first = connection.answered == 0;
+        let leaves_after = self.is_drawn(|behaviour| &behaviour.leaving).then(|| self.random.f64());
+        let leaves_after = leaves_after.map(|part| draft.time.min(Duration::from_millis(250)).mul_f64(part));
+        let mut record = self.exchange(&mut connection, &draft, leaves_after)?;
+        record.is_first_on_connection = is_first;
+        if record.outcome == RequestOutcome::Closed && !is_first {
+            // A resting connection ended as the request came: it is sent once more on a new one.
+            if let Some(mut other) = self.connect()
+                && let Some(mut again) = self.exchange(&mut other, &draft, None)
+            {
+                again.is_first_on_connection = true;
+                again.was_resent = true;
+                connection = other;
+                record = again;
+            }
+        }
+        let goes_on = matches!(
+            record.outcome,
+            RequestOutcome::Served | RequestOutcome::Rejected | RequestOutcome::Failed
+        );
+        self.history.record(|records| records.requests.push(record));
+        connection.answered += 1;
+        goes_on.then_some(connection)
+    }
+
+    fn draft(&mut self) -> Draft {
+        let serial = self.serials.fetch_add(1, Ordering::Relaxed);
+        let number = RequestNumber::new(self.gatekeeper.index, serial);
+        let class = self.random.usize(..self.settings.classes.len());
+        let tenant = self.draw_tenant();
+        let units = (self.random.u32(1..=MAX_UNITS as u32)).into();
+        let usual = self.settings.classes[class].deadline;
+        let is_hurried = self.is_drawn(|behaviour| &behaviour.hurried);
+        let time = if is_hurried { Duration::from_millis(self.random.u64(SHORT_TIMES_MS)) } else { usual };
+        let bytes = self.encode(number, class, tenant, units, time);
+        Draft { number, class, tenant, units, time, bytes }
+    }
+
+    fn draw_tenant(&mut self) -> usize {
+        let mut left = self.random.f64();
+        let parts = self.settings.tenants.iter().map(|tenant| tenant.part);
+        let found = parts.enumerate().find(|(_, part)| {
+            left -= part;
+            left < 0.0
+        });
+        found.map_or(self.settings.tenants.len() - 1, |(index, _)| index)
+    }
+
+    fn encode(
+        &self,
+        number: RequestNumber,
+        class: usize,
+        tenant: usize,
+        units: f64,
+        time: Duration,
+    ) -> Vec<u8> {
+        let gatekeepers = self.settings.gatekeepers;
+        let (class, plan) = (&self.settings.classes[class], plan_name(tenant));
+        let key = match class.effect {
+            Effect::Keyed { .. } => format!("k={},", number.text()),
+            Effect::Idempotent | Effect::Unsafe => String::new(),
+        };
+        let values = format!(
+            "c={},t={plan},d={},{key}units={units},spread={gatekeepers},first=0",
+            class.name,
+            time.as_millis()
+        );
+        let tenant = format!("{:016x}", self.settings.tenants[tenant].number);
+        let id = number.text();
+        match class.effect {
+            Effect::Idempotent => wire::resp_command(&["SVC.QUERY", &tenant, &id, &values]),
+            _ => wire::resp_command(&["SVC.SUBMIT", &tenant, &id, &values, "body"]),
+        }
+    }
+
+    fn connect(&self) -> Option<Connection> {
+        let could_accept = self.gatekeeper.accepts_connections();
+        match TcpStream::connect_timeout(&self.gatekeeper.address, CONNECT_TIMEOUT) {
+            Ok(stream) => {
+                let _ = stream.set_nodelay(true);
+                Some(Connection { stream, received: Vec::new(), answered: 0 })
+            }
+            Err(_) => {
+                if could_accept && self.gatekeeper.accepts_connections() {
+                    let refusal = (self.history.now(), self.gatekeeper.index);
+                    self.history.record(|records| records.refusals.push(refusal));
+                }
+                std::thread::sleep(REFUSED_PAUSE);
+                None
+            }
+        }
+    }
+
+    /// Sends a request and waits for its answer. None where the connection ended before all was written.
+    fn exchange(
+        &self,
+        connection: &mut Connection,
+        draft: &Draft,
+        leaves_after: Option<Duration>,
+    ) -> Option<RequestRecord> {
+        connection.received.clear();
+        connection.stream.write_all(&draft.bytes).ok()?;
+        let sent = self.history.now();
+        let (mut left, mut reply) = (None, Reply::Late);
+        if let Some(time) = leaves_after {
+            reply = connection.read_reply(Instant::now() + time);
+            if matches!(reply, Reply::Late) {
+                let _ = connection.stream.shutdown(Shutdown::Both);
+                left = Some(self.history.now());
+            }
+        }
+        if matches!(reply, Reply::Late) && left.is_none() {
+            reply = connection.read_reply(Instant::now() + draft.time + ANSWER_GRACE);
+        }
+        let outcome = match (&reply, left) {
+            (_, Some(_)) => RequestOutcome::Left,
+            (Reply::Text(text), _) if *text == draft.number.text() => RequestOutcome::Served,
+            (Reply::Text(text), _) if text.starts_with("-BUSY") => RequestOutcome::Rejected,
+            (Reply::Text(text), _) if text.starts_with('-') => RequestOutcome::Failed,
+            (Reply::Text(_), _) => RequestOutcome::WrongValue,
+            (Reply::Closed, _) => RequestOutcome::Closed,
+            (Reply::Late, _) => RequestOutcome::Unanswered,
+        };
+        let &Draft { number, class, tenant, units, time, .. } = draft;
+        Some(RequestRecord {
+            number,
+            class,
+            tenant,
+            units,
+            time,
+            sent,
+            left,
+            ended: self.history.now(),
+            outcome,
+            is_first_on_connection: false,
+            was_resent: false,
+        })
+    }
+
+    /// Sends the start of a request and waits for an error or a close.
+    fn send_part(&mut self, connection: &mut Connection, draft: &Draft) {
+        let length = self.random.usize(1..draft.bytes.len());
+        if connection.stream.write_all(&draft.bytes[..length]).is_err() {
+            return;
+        }
+        let stopped = self.history.now();
+        connection.received.clear();
+        let reply = connection.read_reply(Instant::now() + PARTIAL_TIMEOUT);
+        let ended = (!matches!(reply, Reply::Late)).then(|| self.history.now());
+        let partial = PartialRequest { gatekeeper: self.gatekeeper.index, stopped, ended };
+        self.history.record(|records| records.partial_requests.push(partial));
+    }
+}
+
+impl Connection {
+    /// Reads one reply: the text of a line, or the value of a bulk string.
+    fn read_reply(&mut self, by: Instant) -> Reply {
+        loop {
+            if let Some(text) = complete_reply(&self.received) {
+                return Reply::Text(text);
+            }
+            let left = by.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Reply::Late;
+            }
+            if self.stream.set_read_timeout(Some(left)).is_err() {
+                return Reply::Closed;
+            }
+            let mut bytes = [0; 1024];
+            match self.stream.read(&mut bytes) {
+                Ok(0) => return Reply::Closed,
+                Ok(count) => self.received.extend_from_slice(&bytes[..count]),
+                Err(error) if is_timeout(&error) => {}
+                Err(_) => return Reply::Closed,
+            }
+        }
+    }
+}
+
+fn is_timeout(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut | io::ErrorKind::Interrupted)
+}
+
+/// The text of a reply that has come whole.
+fn complete_reply(received: &[u8]) -> Option<String> {
+    let text = std::str::from_utf8(received).ok()?;
+    let (line, rest) = text.split_once("\r\n")?;
+    match line.strip_prefix('$') {
+        Some(_) => rest.strip_suffix("\r\n").map(str::to_owned),
+        None => Some(line.to_owned()),
+    }
+}
--- /dev/null
+++ b/crates/platform_soak/src/main.rs
@@ -0,0 +1,152 @@
+//! `proof-soak`: plays schedules of the platform path with overlapping troubles and judges them by invariants. It exits with 1 where
+//! one is broken, and with 2 where it cannot run.
+
+use clap::Parser;
+use fault_injection::test_directory::TestDirectory;
+use platform_soak::checkers::Violation;
+use platform_soak::gatekeeper::Program;
+use platform_soak::history::{ProcessEvent, Records, RequestOutcome};
+use platform_soak::run::run;
+use platform_soak::schedule::Schedule;
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// Violations of one schedule that are printed.
+const MAX_PRINTED: usize = 12;
+/// Status where the harness cannot run.
+const CANNOT_RUN: u8 = 2;
+
+/// Plays schedules of overlapping troubles on real gatekeepers of the platform path.
+#[derive(Debug, Parser)]
+struct Options {
+    /// How many schedules are played.
+    #[arg(long, default_value_t = 20)]
+    schedules: u64,
+    /// The seed of the first one; each next one has the next seed.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Gatekeepers of each schedule.
+    #[arg(long, default_value_t = 24)]
+    gatekeepers: usize,
+    /// Length of a schedule in seconds.
+    #[arg(long, default_value_t = 15)]
+    seconds: u64,
+    /// The gatekeeper's binary; by default the one beside this program.
+    #[arg(long)]
+    program: Option<PathBuf>,
+    /// Plays with a build with seeded faults, with this one; it has to be named within the schedules.
+    #[arg(long)]
+    seeded_fault: Option<String>,
+    /// Plays the same sites and clients without any trouble.
+    #[arg(long)]
+    without_troubles: bool,
+    /// Prints the troubles of each schedule.
+    #[arg(long)]
+    verbose: bool,
+}
+
+/// What all schedules have shown.
+#[derive(Default)]
+struct Totals {
+    schedules: usize,
+    violations: usize,
+    broken_schedules: usize,
+    requests: usize,
+    attempts: usize,
+    processes: usize,
+    troubles: usize,
+    by_rule: BTreeMap<&'static str, usize>,
+}
+
+impl Totals {
+    fn add(&mut self, schedule: &Schedule, records: &Records, violations: &[Violation]) {
+        self.schedules += 1;
+        self.violations += violations.len();
+        self.broken_schedules += usize::from(!violations.is_empty());
+        self.requests += records.requests.len();
+        self.attempts += records.attempts.len();
+        let is_start = |event: &ProcessEvent| matches!(event, ProcessEvent::Started { .. });
+        self.processes += records.processes.iter().filter(|record| is_start(&record.event)).count();
+        self.troubles += schedule.troubles.len();
+        for violation in violations {
+            *self.by_rule.entry(violation.rule).or_default() += 1;
+        }
+    }
+}
+
+fn program(options: &Options) -> Option<Program> {
+    let beside = std::env::current_exe().ok()?.with_file_name("snowfield");
+    let path = options.program.clone().unwrap_or(beside);
+    let shim = fault_shim_control::library_path()?;
+    path.exists().then_some(Program { path, shim, seeded_fault: options.seeded_fault.clone() })
+}
+
+fn print_schedule(schedule: &Schedule, records: &Records, violations: &[Violation], is_verbose: bool) {
+    let count = |outcome: RequestOutcome| {
+        records.requests.iter().filter(|request| request.outcome == outcome).count()
+    };
+    println!(
+        "seed {}: {} requests ({} served, {} rejected, {} failed, {} left), {} attempts, {} violations",
+        schedule.seed,
+        records.requests.len(),
+        count(RequestOutcome::Served),
+        count(RequestOutcome::Rejected),
+        count(RequestOutcome::Failed),
+        count(RequestOutcome::Left),
+        records.attempts.len(),
+        violations.len()
+    );
+    if is_verbose || !violations.is_empty() {
+        schedule.troubles.iter().for_each(|planned| println!("    {planned}"));
+    }
+    violations.iter().take(MAX_PRINTED).for_each(|violation| println!("  {violation}"));
+    if violations.len() > MAX_PRINTED {
+        println!("  and {} more", violations.len() - MAX_PRINTED);
+    }
+}
+
+fn main() -> ExitCode {
+    let options = Options::parse();
+    let Some(program) = program(&options) else {
+        eprintln!("proof-soak: the gatekeeper or the preloaded library is not built");
+        return ExitCode::from(CANNOT_RUN);
+    };
+    let mut totals = Totals::default();
+    for seed in options.seed..options.seed + options.schedules {
+        let length = Duration::from_secs(options.seconds);
+        let mut schedule = Schedule::draw(seed, options.gatekeepers, length);
+        if options.without_troubles {
+            schedule.troubles.clear();
+        }
+        let directory = TestDirectory::new(&format!("soak-{seed}"));
+        match run(&schedule, &program, directory.path()) {
+            Ok(verdict) => {
+                print_schedule(&schedule, &verdict.records, &verdict.violations, options.verbose);
+                totals.add(&schedule, &verdict.records, &verdict.violations);
+            }
+            Err(error) => {
+                eprintln!("proof-soak: seed {seed}: {error}");
+                return ExitCode::from(CANNOT_RUN);
+            }
+        }
+    }
+    for (rule, count) in &totals.by_rule {
+        println!("{count:6}  {rule}");
+    }
+    println!(
+        "proof soak: {} schedules, {} violations, in {} schedules; {} gatekeepers in each, {} processes, {} troubles, {} requests, {} attempts",
+        totals.schedules,
+        totals.violations,
+        totals.broken_schedules,
+        options.gatekeepers,
+        totals.processes,
+        totals.troubles,
+        totals.requests,
+        totals.attempts
+    );
+    let is_named = options.seeded_fault.is_some() && totals.violations > 0;
+    let is_sound = options.seeded_fault.is_none() && totals.violations == 0;
+    if is_named || is_sound { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
--- /dev/null
+++ b/crates/platform_soak/src/site.rs
@@ -0,0 +1,158 @@
+//! The processes and stand-ins of one schedule.
+
+use crate::client::{Behaviour, Client};
+use crate::gatekeeper::{Gatekeeper, Program};
+use crate::history::History;
+use crate::lock;
+use crate::settings::{Addresses, Settings};
+use crate::stand_ins::{Agent, Backend, Counter, EndpointList, free_address, spawn};
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+/// Clients of each gatekeeper.
+const CLIENTS: usize = 4;
+/// SIGKILL follows SIGTERM no sooner than after the longest deadline and this.
+const KILL_MARGIN: Duration = Duration::from_millis(700);
+/// The heartbeat by which this harness notices that it runs late.
+const HEARTBEAT: Duration = Duration::from_millis(5);
+/// A heartbeat that is later than this is recorded.
+const NOTABLE_DELAY: Duration = Duration::from_millis(15);
+
+/// The site of one schedule.
+pub struct Site {
+    /// Its settings.
+    pub settings: Arc<Settings>,
+    /// What happens.
+    pub history: History,
+    /// Its gatekeepers.
+    pub gatekeepers: Vec<Arc<Gatekeeper>>,
+    /// Their discovery agents.
+    pub agents: Vec<Agent>,
+    /// The list that these tell.
+    pub list: EndpointList,
+    /// The counter.
+    pub counter: Counter,
+    /// The backends.
+    pub backends: Vec<Backend>,
+    /// How clients behave.
+    pub behaviour: Arc<Behaviour>,
+    clients: Mutex<Vec<JoinHandle<()>>>,
+    seed: u64,
+}
+
+impl Site {
+    /// Starts all stand-ins and all gatekeepers, and waits until these serve.
+    ///
+    /// # Errors
+    ///
+    /// Something cannot be started.
+    pub fn start(seed: u64, settings: Settings, program: &Program, directory: &Path) -> io::Result<Self> {
+        let history = History::default();
+        start_heartbeat(&history)?;
+        let counter_address = free_address()?;
+        let counter = Counter::start(counter_address)?;
+        let mut backends = Vec::new();
+        let mut backend_addresses: Vec<SocketAddr> = Vec::new();
+        for index in 0..settings.backends {
+            let address = free_address()?;
+            backends.push(Backend::start(address, index, &history)?);
+            backend_addresses.push(address);
+        }
+        let list = EndpointList::new(&backend_addresses, &history);
+        let (mut gatekeepers, mut agents) = (Vec::new(), Vec::new());
+        for index in 0..settings.gatekeepers {
+            let (listen, discovery) = (free_address()?, free_address()?);
+            agents.push(Agent::start(discovery, &list, index)?);
+            let gatekeeper = Gatekeeper::new(index, listen, program.clone(), directory, &history)?;
+            let addresses = Addresses { listen, discovery, counter: counter_address };
+            gatekeeper.write_config(&settings.config(index, addresses))?;
+            gatekeeper.start(0)?;
+            gatekeepers.push(gatekeeper);
+        }
+        for gatekeeper in &gatekeepers {
+            gatekeeper.wait_until_ready();
+        }
+        Ok(Self {
+            settings: Arc::new(settings),
+            history,
+            gatekeepers,
+            agents,
+            list,
+            counter,
+            backends,
+            behaviour: Arc::default(),
+            clients: Mutex::default(),
+            seed,
+        })
+    }
+
+    /// Starts the clients.
+    ///
+    /// # Errors
+    ///
+    /// The system has no threads.
+    pub fn start_clients(&self) -> io::Result<()> {
+        for gatekeeper in &self.gatekeepers {
+            let serials = Arc::new(AtomicU32::new(0));
+            for number in 0..CLIENTS {
+                let seed = self.seed ^ ((gatekeeper.index * CLIENTS + number) as u64) << 8;
+                let client = Client {
+                    gatekeeper: gatekeeper.clone(),
+                    settings: self.settings.clone(),
+                    behaviour: self.behaviour.clone(),
+                    serials: serials.clone(),
+                    history: self.history.clone(),
+                    random: fastrand::Rng::with_seed(seed),
+                };
+                lock(&self.clients).push(spawn(move || client.run())?);
+            }
+        }
+        Ok(())
+    }
+
+    /// After this from SIGTERM on a process may be killed.
+    pub fn kill_after(&self) -> Duration {
+        let deadlines = self.settings.classes.iter().map(|class| class.deadline);
+        deadlines.max().unwrap_or_default() + KILL_MARGIN
+    }
+
+    /// Ends the clients, and then the gatekeepers.
+    pub fn stop(&self) {
+        self.behaviour.is_over.store(true, Ordering::Relaxed);
+        for client in lock(&self.clients).drain(..) {
+            // One that panicked has recorded nothing wrong.
+            let _ = client.join();
+        }
+        let kill_after = self.kill_after();
+        let ending: Vec<_> = self
+            .gatekeepers
+            .iter()
+            .cloned()
+            .map(|gatekeeper| std::thread::spawn(move || gatekeeper.stop(kill_after)))
+            .collect();
+        ending.into_iter().for_each(|thread| drop(thread.join()));
+    }
+}
+
+/// Records when this harness itself gets the processor late.
+fn start_heartbeat(history: &History) -> io::Result<()> {
+    let history = history.clone();
+    // It ends with the process: a schedule leaves nothing else behind.
+    spawn(move || {
+        loop {
+            let before = Instant::now();
+            std::thread::sleep(HEARTBEAT);
+            let delay = before.elapsed().saturating_sub(HEARTBEAT);
+            if delay > NOTABLE_DELAY {
+                let at = history.now();
+                history.record(|records| records.delays.push((at, delay)));
+            }
+        }
+    })?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/platform_soak/src/stand_ins/backend.rs
@@ -0,0 +1,256 @@
+//! A backend: it serves each request after a few milliseconds, and can be made to fail in the ways that backends do.
+
+use super::{reset, spawn, wait_for_end};
+use crate::history::{AttemptOutcome, AttemptRecord, BackendIndex, History, Moment, RequestNumber};
+use crate::lock;
+use fault_injection::wire;
+use std::io::{self, BufRead, BufReader, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::ops::Range;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+/// How long a request takes, in microseconds.
+const WORK_US: Range<u64> = 2_000..9_000;
+/// How much longer it takes at a slow backend.
+const SLOW_WORK: Duration = Duration::from_millis(120);
+/// After how long an idle connection ends where the backend closes or forgets them.
+const SHORT_IDLE: Duration = Duration::from_millis(60);
+/// How long a connection is kept that nobody ends.
+const LONGEST_WAIT: Duration = Duration::from_secs(30);
+/// How often a listener that refuses looks whether it may listen again.
+const CHECK_INTERVAL: Duration = Duration::from_millis(5);
+/// The place of the request's id and of its values in a command.
+const ID: usize = 2;
+const VALUES: usize = 3;
+
+/// How a backend behaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum BackendMode {
+    /// It serves.
+    #[default]
+    Healthy,
+    /// It serves late.
+    Slow,
+    /// It never answers.
+    Hanging,
+    /// It answers with an error.
+    Failing,
+    /// It rejects.
+    Rejecting,
+    /// It resets the connection of each other request while it runs.
+    Resetting,
+    /// It ends each other answer in its middle.
+    Truncating,
+    /// It closes idle connections early.
+    ClosingIdle,
+    /// It resets idle connections early.
+    ResettingIdle,
+    /// It forgets idle connections: what is written to them gets no answer.
+    ForgettingIdle,
+    /// Its machine refuses connections, and resets those that were open.
+    Refusing,
+}
+
+struct Shared {
+    index: BackendIndex,
+    mode: Mutex<BackendMode>,
+    connections: Mutex<Vec<TcpStream>>,
+    history: History,
+}
+
+/// A backend. Clones are the same one.
+#[derive(Clone)]
+pub struct Backend(Arc<Shared>);
+
+/// A request as it came.
+struct Received {
+    number: RequestNumber,
+    began: Moment,
+    time_left: Duration,
+}
+
+impl Backend {
+    /// Listens here.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be listened on.
+    pub fn start(address: SocketAddr, index: BackendIndex, history: &History) -> io::Result<Self> {
+        let shared =
+            Shared { index, mode: Mutex::default(), connections: Mutex::default(), history: history.clone() };
+        let backend = Self(Arc::new(shared));
+        let listener = TcpListener::bind(address)?;
+        let accepting = backend.clone();
+        spawn(move || accepting.accept(listener, address))?;
+        Ok(backend)
+    }
+
+    /// Behaves like this from now on.
+    pub fn set_mode(&self, mode: BackendMode) {
+        *lock(&self.0.mode) = mode;
+        if mode == BackendMode::Refusing {
+            for connection in lock(&self.0.connections).drain(..) {
+                reset(&connection);
+                let _ = connection.shutdown(Shutdown::Both);
+            }
+        }
+    }
+
+    fn mode(&self) -> BackendMode {
+        *lock(&self.0.mode)
+    }
+
+    fn accept(&self, listener: TcpListener, address: SocketAddr) {
+        let mut listener = Some(listener);
+        if let Some(listener) = &listener {
+            let _ = listener.set_nonblocking(true);
+        }
+        loop {
+            if self.mode() == BackendMode::Refusing {
+                listener = None;
+            } else if listener.is_none() {
+                listener = TcpListener::bind(address).ok();
+                listener.iter().for_each(|listener| drop(listener.set_nonblocking(true)));
+            }
+            match listener.as_ref().map(TcpListener::accept) {
+                Some(Ok((stream, _))) => self.open(stream),
+                _ => thread::sleep(CHECK_INTERVAL),
+            }
+        }
+    }
+
+    fn open(&self, stream: TcpStream) {
+        let _ = stream.set_nonblocking(false);
+        let _ = stream.set_nodelay(true);
+        let Ok(handle) = stream.try_clone() else { return };
+        lock(&self.0.connections).push(handle);
+        let backend = self.clone();
+        let _ = spawn(move || {
+            let peer = stream.peer_addr().ok();
+            let _ = backend.serve(&stream);
+            let _ = stream.shutdown(Shutdown::Both);
+            lock(&backend.0.connections).retain(|other| other.peer_addr().is_ok_and(|at| Some(at) != peer));
+        });
+    }
+
+    /// Serves a connection until it ends.
+    fn serve(&self, stream: &TcpStream) -> io::Result<()> {
+        let mut commands = BufReader::new(stream.try_clone()?);
+        let mut random = fastrand::Rng::with_seed(self.0.history.now().as_nanos() as u64);
+        let mut served = 0;
+        loop {
+            if served > 0 && !self.wait_for_command(stream)? {
+                return Ok(());
+            }
+            let Some(received) = self.read(&mut commands, stream)? else { return Ok(()) };
+            served += 1;
+            if !self.answer(stream, received, &mut random)? {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Waits for the next command on an idle connection. Returns whether the connection goes on.
+    fn wait_for_command(&self, stream: &TcpStream) -> io::Result<bool> {
+        loop {
+            stream.set_read_timeout(Some(SHORT_IDLE))?;
+            match stream.peek(&mut [0]) {
+                Ok(count) => return Ok(count > 0),
+                Err(error) if is_timeout(&error) => {}
+                Err(error) => return Err(error),
+            }
+            match self.mode() {
+                BackendMode::ClosingIdle => return Ok(false),
+                BackendMode::ResettingIdle => {
+                    reset(stream);
+                    return Ok(false);
+                }
+                BackendMode::ForgettingIdle => {
+                    wait_for_end(&mut stream.try_clone()?, LONGEST_WAIT);
+                    return Ok(false);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Reads one command; none where the connection ends first.
+    fn read(&self, commands: &mut BufReader<TcpStream>, stream: &TcpStream) -> io::Result<Option<Received>> {
+        stream.set_read_timeout(None)?;
+        if commands.fill_buf()?.is_empty() {
+            return Ok(None);
+        }
+        let began = self.0.history.now();
+        let Some(words) = wire::read_resp_command(commands) else { return Ok(None) };
+        let number = words.get(ID).and_then(|id| RequestNumber::parse(id));
+        let time_left = words.get(VALUES).and_then(|values| milliseconds(values));
+        Ok(number.zip(time_left).map(|(number, time_left)| Received { number, began, time_left }))
+    }
+
+    /// Answers a request. Returns whether the connection goes on.
+    fn answer(&self, stream: &TcpStream, received: Received, random: &mut fastrand::Rng) -> io::Result<bool> {
+        let history = &self.0.history;
+        let Received { number, began, time_left } = received;
+        let place = history.begin_attempt(AttemptRecord {
+            request: number,
+            backend: self.0.index,
+            began,
+            arrived: history.now(),
+            time_left,
+            ended: None,
+            outcome: AttemptOutcome::Open,
+        });
+        let mode = self.mode();
+        let work = Duration::from_micros(random.u64(WORK_US));
+        let work = if mode == BackendMode::Slow { work + SLOW_WORK } else { work };
+        let is_other = random.bool();
+        if mode == BackendMode::Hanging {
+            wait_for_end(&mut stream.try_clone()?, LONGEST_WAIT);
+            history.end_attempt(place, AttemptOutcome::Closed);
+            return Ok(false);
+        }
+        if has_ended(stream, work)? {
+            history.end_attempt(place, AttemptOutcome::Closed);
+            return Ok(false);
+        }
+        let value = wire::backend_reply(&number.text());
+        let (bytes, outcome) = match mode {
+            BackendMode::Failing => (b"-ERR failed\r\n".to_vec(), AttemptOutcome::Failed),
+            BackendMode::Rejecting => (b"-BUSY\r\n".to_vec(), AttemptOutcome::Rejected),
+            BackendMode::Resetting if is_other => {
+                reset(stream);
+                (Vec::new(), AttemptOutcome::Closed)
+            }
+            BackendMode::Truncating if is_other => {
+                (value[..value.len() / 2].to_vec(), AttemptOutcome::Closed)
+            }
+            _ => (value, AttemptOutcome::Served),
+        };
+        // Before it is written: its gatekeeper may send the next one at once.
+        history.end_attempt(place, outcome);
+        (&mut &*stream).write_all(&bytes)?;
+        Ok(outcome != AttemptOutcome::Closed)
+    }
+}
+
+/// Whether the other side ends its connection within this time.
+fn has_ended(stream: &TcpStream, time: Duration) -> io::Result<bool> {
+    stream.set_read_timeout(Some(time))?;
+    match stream.peek(&mut [0]) {
+        Ok(count) => Ok(count == 0),
+        Err(error) if is_timeout(&error) => Ok(false),
+        Err(_) => Ok(true),
+    }
+}
+
+fn is_timeout(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut)
+}
+
+/// The time that a list of values gives as `d`.
+fn milliseconds(values: &str) -> Option<Duration> {
+    let text = values.split(',').find_map(|value| value.strip_prefix("d="))?;
+    text.parse().ok().map(Duration::from_millis)
+}
