--- /dev/null
+++ b/crates/snowfield/tests/stepped_clocks.rs
@@ -0,0 +1,103 @@
+//! Wall clocks that are stepped: several gatekeepers with a shared counter, one of which starts an hour off. Deadlines, windows
+//! and quotas are spans of real time.
+
+mod common;
+
+use common::TestDirectory;
+use platform_soak::checkers::Violation;
+use platform_soak::gatekeeper::Program;
+use platform_soak::run::run;
+use platform_soak::schedule::{Planned, RestartKind, Schedule, Trouble};
+use platform_soak::stand_ins::BackendMode;
+use std::path::PathBuf;
+use std::time::Duration;
+
+const GATEKEEPERS: usize = 4;
+/// Backends of the tests on slow start, and the one that restarts.
+const BACKENDS: usize = 6;
+const COLD: usize = 2;
+const HOUR_US: i64 = 3_600_000_000;
+
+fn program() -> Program {
+    let shim = fault_shim_control::library_path().expect("cargo builds the preloaded library for this test");
+    Program { path: PathBuf::from(env!("CARGO_BIN_EXE_snowfield")), shim, seeded_fault: None }
+}
+
+/// A schedule of these troubles alone: when each begins, in milliseconds.
+fn schedule(seed: u64, seconds: u64, troubles: &[(u64, Trouble)]) -> Schedule {
+    let mut schedule = Schedule::draw(seed, GATEKEEPERS, Duration::from_secs(seconds));
+    let planned = |&(at, trouble): &(u64, Trouble)| Planned {
+        at: Duration::from_millis(at),
+        length: Duration::from_secs(seconds),
+        trouble,
+    };
+    schedule.troubles = troubles.iter().map(planned).collect();
+    schedule
+}
+
+/// What breaks this rule in a schedule.
+fn violations_of(rule: &str, test: &str, schedule: &Schedule) -> Vec<Violation> {
+    let directory = TestDirectory::new(test);
+    let verdict = run(schedule, &program(), directory.path()).expect("all programs start");
+    assert!(verdict.records.attempts.len() > 500, "clients were served: {}", verdict.records.attempts.len());
+    verdict.violations.into_iter().filter(|violation| violation.rule == rule).collect()
+}
+
+fn restart(gatekeeper: usize, clock_offset_us: i64) -> Trouble {
+    Trouble::Restart { gatekeeper, kind: RestartKind::Graceful, clock_offset_us }
+}
+
+fn assert_quotas_hold(test: &str, clock_offsets_us: [i64; 2]) {
+    let troubles: Vec<(u64, Trouble)> =
+        clock_offsets_us.iter().enumerate().map(|(index, &offset)| (1_500, restart(index, offset))).collect();
+    let found = violations_of("quotas of all processes together", test, &schedule(7, 12, &troubles));
+    assert!(found.is_empty(), "{found:#?}");
+}
+
+/// Guards quotas over all processes: the name of a count came from the wall clock at the start, so a gatekeeper that started an hour
+/// ahead shared its counts with nobody, and each lender got its quota twice.
+#[test]
+fn quotas_hold_with_gatekeepers_started_an_hour_ahead() {
+    assert_quotas_hold("clock-ahead", [HOUR_US, HOUR_US / 2]);
+}
+
+#[test]
+fn quotas_hold_with_gatekeepers_started_an_hour_behind() {
+    assert_quotas_hold("clock-behind", [-HOUR_US, -HOUR_US / 2]);
+}
+
+/// The same clients and restarts on clocks that are right: what the other tests are compared with.
+#[test]
+fn quotas_hold_with_gatekeepers_restarted_on_the_same_clock() {
+    assert_quotas_hold("clock-same", [0, 0]);
+}
+
+/// Guards slow start: the age of a backend came from the wall clock, so a gatekeeper that started an hour ahead took a cold backend
+/// for a warm one.
+#[test]
+fn a_cold_backend_is_spared_by_gatekeepers_started_an_hour_ahead() {
+    assert_cold_backend_is_spared("cold-ahead", HOUR_US);
+}
+
+#[test]
+fn a_cold_backend_is_spared_by_gatekeepers_restarted_on_the_same_clock() {
+    assert_cold_backend_is_spared("cold-same", 0);
+}
+
+fn assert_cold_backend_is_spared(test: &str, clock_offset_us: i64) {
+    let mut troubles: Vec<(u64, Trouble)> =
+        (0..GATEKEEPERS).map(|gatekeeper| (1_000, restart(gatekeeper, clock_offset_us))).collect();
+    troubles.push((5_000, Trouble::BackendRestart { backend: COLD }));
+    // All others are slow, so that the cold one attracts the work.
+    let others = (0..BACKENDS).filter(|&backend| backend != COLD);
+    let slow = others.map(|backend| (0, Trouble::Backend { backend, mode: BackendMode::Slow }));
+    troubles.splice(0..0, slow);
+    let mut schedule = schedule(11, 12, &troubles);
+    schedule.settings.backends = BACKENDS;
+    schedule.settings.cold_share = 0.1;
+    schedule.settings.cold_time = Duration::from_secs(12);
+    schedule.settings.overload_factor = 1.2;
+    schedule.settings.overload_time = Duration::from_millis(2_500);
+    let found = violations_of("slow start", test, &schedule);
+    assert!(found.is_empty(), "{found:#?}");
+}
