The time that a request waited unread is taken off what it has left

Cause: front_resp counted a request's time from its reading. Where a full table kept new connections at the listener, or the process was held up, the wait before it was passed on to backends once more, and answers came as much later. Change: the system tells when the last bytes of a connection came (TCP_INFO); a request's time counts from then. The OpenAPI front is told no time by its clients, so nothing is passed on there.

--- a/crates/front_resp/src/dispatch.rs
+++ b/crates/front_resp/src/dispatch.rs
@@ -11,8 +11,10 @@
 use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+/// The least time of a request, in microseconds.
+const MIN_TIME_LEFT: u64 = 1_000;
 /// A rejection without Retry-After.
 const REJECTION: &[u8] = b"-BUSY\r\n";
 
@@ -49,7 +51,7 @@
             let mut queue = locked(&client.queue);
             (queue.push(), queue.waiting >= MAX_WAITING || self.memory.complete.is_exceeded())
         };
-        let command = self.interpret(raw, arguments);
+        let command = self.interpret(client, raw, arguments);
         {
             let mut queue = locked(&client.queue);
             queue.had_valid_command |= !matches!(command, Command::Error(_));
@@ -70,7 +72,12 @@
         true
     }
 
-    fn interpret(self: &Arc<Self>, raw: &[u8], arguments: &[Range<usize>]) -> Command {
+    fn interpret(
+        self: &Arc<Self>,
+        client: &ClientConnection,
+        raw: &[u8],
+        arguments: &[Range<usize>],
+    ) -> Command {
         let name = arguments.first().map_or(&[][..], |argument| &raw[argument.clone()]);
         if name.eq_ignore_ascii_case(b"PING") {
             let is_ready = self.is_ready.load(Ordering::Acquire);
@@ -80,10 +87,13 @@
             return Command::Answer(b"+OK\r\n");
         }
         let rules = locked(&self.rules).clone();
-        let valid = match rules.validate(raw, arguments) {
+        let mut valid = match rules.validate(raw, arguments) {
             Ok(valid) => valid,
             Err(error) => return Command::Error(error.to_string()),
         };
+        // Its client counts from when it was sent: it may have waited at a full table, or while this process was held up.
+        let waited = client.socket.time_since_last_data().unwrap_or_default();
+        valid.request.time_left = time_left_after(valid.request.time_left, waited);
         if !locked(&self.open_ids).insert(valid.id.clone()) {
             return Command::Error("the id is that of an open request".to_owned());
         }
@@ -183,6 +193,11 @@
     }
 }
 
+/// What is left of a request's time after a wait; a moment at the least, so that it has its answer at once.
+fn time_left_after(time_left: u64, waited: Duration) -> u64 {
+    time_left.saturating_sub(waited.as_micros() as u64).max(MIN_TIME_LEFT)
+}
+
 fn encode(answer: FinalAnswer<AnswerBody>) -> Vec<u8> {
     match answer {
         FinalAnswer::Served(AnswerBody::Complete(value)) => value,
--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -3,6 +3,7 @@
 use crate::fairness::{MAX_BURST, TURN};
 use crate::lock::locked;
 use crate::socket::{Stream, Watched};
+use crate::tcp_info;
 use crate::timer::sleep;
 use may::net::TcpStream;
 use std::io::{self, ErrorKind, Read, Write};
@@ -274,6 +275,12 @@
         !matches!(self.stream.inner().peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
     }
 
+    /// How long ago the system received the last bytes of the peer, where it tells that: what is read now has been waiting for at
+    /// least as long.
+    pub fn time_since_last_data(&self) -> Option<Duration> {
+        tcp_info::time_since_last_data(self.stream.inner())
+    }
+
     /// Makes the connection's own coroutine return from [`Connection::receive`] with [`Incoming::Woken`].
     pub fn wake(&self) {
         self.is_woken.store(true, Ordering::Release);
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -9,6 +9,7 @@
 mod lock;
 mod runtime;
 mod socket;
+mod tcp_info;
 mod timer;
 
 pub use connection::{Connection, Incoming};
