Red: the machine's own errors are blamed on backends, and end a start

Four gatekeepers whose every connect failed for 2 s: the first request was served 0.8 s after the machine connected again (0.3 s are allowed). One failing call of socket at the start: never ready, status 1.

--- a/crates/platform_soak/src/history.rs
+++ b/crates/platform_soak/src/history.rs
@@ -231,6 +231,8 @@
 /// Everything that was recorded.
 #[derive(Clone, Debug, Default)]
 pub struct Records {
+    /// When the schedule began: all processes served by then.
+    pub started: Moment,
     /// Requests.
     pub requests: Vec<RequestRecord>,
     /// Attempts.
--- a/crates/platform_soak/src/troubles.rs
+++ b/crates/platform_soak/src/troubles.rs
@@ -49,6 +49,7 @@
 /// Carries out a schedule and returns at its end, when all troubles are over.
 pub fn play(site: &Arc<Site>, schedule: &Schedule) {
     let began = site.history.now();
+    site.history.record(|records| records.started = began);
     let mut running = Vec::new();
     for &planned in &schedule.troubles {
         thread::sleep((began + planned.at).saturating_sub(site.history.now()));
--- /dev/null
+++ b/crates/snowfield/tests/machine_faults.rs
@@ -0,0 +1,87 @@
+//! Faults of the gatekeeper's own machine: calls of the system that fail for a moment are no fault of a backend, and end no start.
+
+mod common;
+
+use common::TestDirectory;
+use fault_shim_control::Setting;
+use platform_soak::gatekeeper::{Gatekeeper, Program};
+use platform_soak::history::{History, Moment, RequestOutcome};
+use platform_soak::run::run;
+use platform_soak::schedule::{CallFaults, Planned, Schedule, Trouble};
+use platform_soak::settings::{Addresses, Settings};
+use platform_soak::stand_ins::{BackendMode, free_address};
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+const GATEKEEPERS: usize = 4;
+/// Tenants from this one on have plenty of quota.
+const FIRST_WELL_PROVIDED_TENANT: usize = 3;
+/// The first request is served this long after the machine connects again.
+const RECOVERY: Duration = Duration::from_millis(300);
+
+fn program() -> Program {
+    let shim = fault_shim_control::library_path().expect("cargo builds the preloaded library for this test");
+    Program { path: PathBuf::from(env!("CARGO_BIN_EXE_snowfield")), shim, seeded_fault: None }
+}
+
+/// When a gatekeeper first served a request of a tenant with plenty of quota that was sent after this moment.
+fn first_success(
+    records: &platform_soak::history::Records,
+    gatekeeper: usize,
+    after: Moment,
+) -> Option<Moment> {
+    let of_this = records.requests.iter().filter(|request| request.number.gatekeeper() == gatekeeper);
+    let served = of_this.filter(|request| {
+        request.outcome == RequestOutcome::Served
+            && request.sent > after
+            && request.tenant >= FIRST_WELL_PROVIDED_TENANT
+    });
+    served.map(|request| request.ended).min()
+}
+
+/// Guards service after an outage of the machine itself: for 2 s every connect failed, which each backend was blamed for, so that
+/// requests were rejected for up to a second more.
+#[test]
+fn backends_are_used_at_once_when_the_machine_connects_again() {
+    let mut schedule = Schedule::draw(5, GATEKEEPERS, Duration::from_secs(8));
+    let (at, length) = (Duration::from_millis(2_000), Duration::from_millis(2_000));
+    // All backends close idle connections, and no gatekeeper can connect.
+    let closing = |backend| Trouble::Backend { backend, mode: BackendMode::ClosingIdle };
+    let mut troubles: Vec<Trouble> = (0..schedule.settings.backends).map(closing).collect();
+    troubles.push(Trouble::Calls { first: 0, step: 1, faults: CallFaults::NoConnections });
+    schedule.troubles = troubles.into_iter().map(|trouble| Planned { at, length, trouble }).collect();
+    let directory = TestDirectory::new("connects-again");
+    let verdict = run(&schedule, &program(), directory.path()).expect("all programs start");
+    let connects_again = verdict.records.started + at + length;
+    for gatekeeper in 0..GATEKEEPERS {
+        let first = first_success(&verdict.records, gatekeeper, connects_again);
+        let after = first.expect("it serves again") - connects_again;
+        assert!(after <= RECOVERY, "n{gatekeeper} served {after:?} after the machine connected again");
+    }
+}
+
+/// A gatekeeper whose first calls of `socket` fail.
+fn gatekeeper_with_failing_sockets(test: &str, failures: u64) -> (Arc<Gatekeeper>, TestDirectory) {
+    let (directory, history) = (TestDirectory::new(test), History::default());
+    let settings = Settings::draw(&mut fastrand::Rng::with_seed(1), 1);
+    let [listen, discovery, counter] = [(); 3].map(|()| free_address().expect("a free port"));
+    let gatekeeper =
+        Gatekeeper::new(0, listen, program(), directory.path(), &history).expect("a folder for its files");
+    let config = settings.config(0, Addresses { listen, discovery, counter });
+    gatekeeper.write_config(&config).expect("a configuration");
+    gatekeeper.control.set(Setting::FirstSocketFailures, failures).expect("the control block");
+    (gatekeeper, directory)
+}
+
+/// Guards starts: one call of `socket` that failed for a moment ended the program with status 1.
+#[test]
+fn a_start_survives_sockets_that_cannot_be_opened_for_a_moment() {
+    for failures in [1, 2, 5, 20] {
+        let (gatekeeper, _directory) =
+            gatekeeper_with_failing_sockets(&format!("start-{failures}"), failures);
+        gatekeeper.start(0).expect("the program starts");
+        assert!(gatekeeper.wait_until_ready(), "with {failures} failures");
+        gatekeeper.stop(Duration::from_secs(5));
+    }
+}
