The machine's own errors are not blamed on backends; what a start needs is tried again

Causes: (1) every attempt without a connection ended as ConnectFailed, which doubles its backend's backoff, also where this machine lacked a socket, a port or a route, at the pools' own bound, or where the list had changed meanwhile. (2) The first call of socket that failed ended the start with status 1: Listener::bind and the admin listener, seen with a shim that fails the first 1 to 20 calls. (3) By reading: what had been decided was written without a look at the clock, so that a hold-up of 0.15 s passed the window of a key of under 1 s, and a deadline; a request that the socket took in pieces was written on after its window or its final answer; a backend that had moved got an attempt at its old address. Change: Outcome::NotStarted (never ran, says nothing of the backend, a retry is free); link::ConnectError tells whose error it is; times of an attempt count from its decision and are looked at before it is written; what is not written completely ends with its window or its request's answer; 0.16 s of a key's window at least are left; the start retries for 4 s what may pass. A test on late connections has a shorter keepalive, as the connection is now kept for others.

--- a/crates/destination/src/attempt.rs
+++ b/crates/destination/src/attempt.rs
@@ -5,13 +5,13 @@
 use crate::pools::{BackendPools, Carrier};
 use crate::protocol::Protocol;
 use exchange::{Attempt, AttemptId, Backends};
-use link::{Connection, locked, spawn};
+use link::{ConnectError, Connection, locked, spawn};
 use policy::{BackendState, Micros, Outcome};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// Bytes that most requests fit in.
 const REQUEST_CAPACITY: usize = 512;
@@ -20,8 +20,8 @@
 enum AfterConnect {
     /// It is written.
     Begin,
-    /// It fails: its backend takes nothing new any more, or it would begin too late.
-    Fail,
+    /// It ends like this.
+    Fail(Outcome),
     /// Nobody wants it any more.
     Unwanted,
 }
@@ -31,7 +31,15 @@
         loop {
             match self.check_out(&attempt) {
                 Some(Checkout::Idle(connection)) => {
-                    if self.write(&connection, &attempt, attempt.time_left).is_ok() {
+                    let elapsed = self.elapsed(&attempt);
+                    if is_late(&attempt, elapsed) {
+                        if self.remove_carrier(attempt.id) {
+                            self.check_in(&connection);
+                            self.attempt_failed(attempt.id, Outcome::NotStarted);
+                        }
+                        return;
+                    }
+                    if self.write(&connection, &attempt, elapsed).is_ok() {
                         return;
                     }
                     // It broke before anything was written, so the attempt never ran and another may carry it.
@@ -46,22 +54,23 @@
                     }
                     return;
                 }
-                None => return self.attempt_failed(attempt.id, Outcome::ConnectFailed),
+                None => return self.attempt_failed(attempt.id, Outcome::NotStarted),
             }
         }
     }
 
     fn withdraw(&self, attempt: AttemptId) {
-        let was_connecting = {
-            let mut state = locked(&self.state);
-            let is_connecting = matches!(state.carriers.get(&attempt), Some(Carrier::Connecting));
-            is_connecting && state.carriers.remove(&attempt).is_some()
-        };
-        if was_connecting {
+        if self.remove_unwritten(attempt) {
             self.attempt_failed(attempt, Outcome::Cancelled);
         }
     }
 
+    fn end_unwritten(&self, attempt: AttemptId) {
+        if self.remove_unwritten(attempt) {
+            self.attempt_failed(attempt, Outcome::NotStarted);
+        }
+    }
+
     fn cancel(&self, attempt: AttemptId) {
         let carrier = locked(&self.state).carriers.remove(&attempt);
         if let Some(Carrier::On(connection)) = carrier {
@@ -72,33 +81,60 @@
 }
 
 impl<P: Protocol> BackendPools<P> {
+    /// Forgets what carries an attempt that is not written completely, and ends its connection if it has one: what is not complete
+    /// never runs. Returns whether there was such an attempt.
+    fn remove_unwritten(&self, attempt: AttemptId) -> bool {
+        let carrier = {
+            let mut state = locked(&self.state);
+            let is_unwritten = match state.carriers.get(&attempt) {
+                Some(Carrier::Connecting) => true,
+                Some(Carrier::On(connection)) => {
+                    let has_begun = locked(&connection.attempt).is_some();
+                    !has_begun || connection.socket.unsent() > 0
+                }
+                None => false,
+            };
+            if is_unwritten { state.carriers.remove(&attempt) } else { None }
+        };
+        if let Some(Carrier::On(connection)) = &carrier {
+            *locked(&connection.attempt) = None;
+            connection.socket.close();
+        }
+        carrier.is_some()
+    }
+
+    /// Microseconds since an attempt was decided. Read anew before anything is written: the process may have been held up.
+    fn elapsed(&self, attempt: &Attempt<P::Payload>) -> Micros {
+        self.exchange().now().saturating_sub(attempt.decided_at)
+    }
+
     /// Establishes a connection, makes the attempt on it if it is still wanted, and serves the connection.
     fn run_new_connection(&self, attempt: Attempt<P::Payload>, address: SocketAddr) {
         let (begun, timeout) = (Instant::now(), self.timeouts().connect);
         let socket = Connection::connect(address, timeout);
         let connection =
             socket.map(|socket| Arc::new(PooledConnection::new(socket, attempt.backend, address)));
-        let elapsed = begun.elapsed();
-        let next = self.after_connect(&attempt, connection.as_ref().ok(), elapsed, timeout);
+        let is_slow = begun.elapsed() > timeout;
+        let elapsed = self.elapsed(&attempt);
+        let next = self.after_connect(&attempt, connection.as_ref(), elapsed, is_slow);
         let Ok(connection) = connection else {
             locked(&self.state).open_connections -= 1;
-            if !matches!(next, AfterConnect::Unwanted) {
-                self.attempt_failed(attempt.id, Outcome::ConnectFailed);
+            if let AfterConnect::Fail(outcome) = next {
+                self.attempt_failed(attempt.id, outcome);
             }
             return;
         };
         match next {
             AfterConnect::Begin => {
-                let time_left = attempt.time_left.saturating_sub(begun.elapsed().as_micros() as Micros);
-                if self.write(&connection, &attempt, time_left).is_err() {
+                if self.write(&connection, &attempt, elapsed).is_err() {
                     connection.socket.close();
                     if self.remove_carrier(attempt.id) {
                         self.attempt_failed(attempt.id, Outcome::ConnectFailed);
                     }
                 }
             }
-            AfterConnect::Fail => {
-                self.attempt_failed(attempt.id, Outcome::ConnectFailed);
+            AfterConnect::Fail(outcome) => {
+                self.attempt_failed(attempt.id, outcome);
                 connection.socket.close();
             }
             AfterConnect::Unwanted => self.check_in(&connection),
@@ -109,36 +145,43 @@
     fn after_connect(
         &self,
         attempt: &Attempt<P::Payload>,
-        connection: Option<&Arc<PooledConnection<P::Payload>>>,
-        elapsed: Duration,
-        timeout: Duration,
+        connection: Result<&Arc<PooledConnection<P::Payload>>, &ConnectError>,
+        elapsed: Micros,
+        is_slow: bool,
     ) -> AfterConnect {
         let mut state = locked(&self.state);
         if state.carriers.remove(&attempt.id).is_none() {
             return AfterConnect::Unwanted;
         }
-        // A backend that drains or went while the connection was established gets nothing new.
-        let pool = state.pools.get(&attempt.backend);
-        let is_ready = pool.is_some_and(|pool| pool.endpoint.state == BackendState::Ready);
-        let takes_work = is_ready && !state.operator_ejections.contains(&attempt.backend);
+        let connection = match connection {
+            Ok(connection) => connection,
+            Err(error) if error.is_local() => return AfterConnect::Fail(Outcome::NotStarted),
+            Err(_) => return AfterConnect::Fail(Outcome::ConnectFailed),
+        };
+        // A backend that drains, went or moved while the connection was established gets nothing new.
+        let takes_work = state.pools.get(&attempt.backend).is_some_and(|pool| {
+            pool.endpoint.state == BackendState::Ready && pool.endpoint.address == connection.address
+        });
+        if !takes_work || state.operator_ejections.contains(&attempt.backend) || is_late(attempt, elapsed) {
+            return AfterConnect::Fail(Outcome::NotStarted);
+        }
         // The policy relies on it that what has not begun by then never will.
-        let is_late = elapsed > timeout || elapsed.as_micros() as Micros >= attempt.max_start_delay;
-        match connection {
-            Some(connection) if takes_work && !is_late => {
-                state.carriers.insert(attempt.id, Carrier::On(connection.clone()));
-                AfterConnect::Begin
-            }
-            _ => AfterConnect::Fail,
+        if is_slow {
+            return AfterConnect::Fail(Outcome::ConnectFailed);
         }
+        state.carriers.insert(attempt.id, Carrier::On(connection.clone()));
+        AfterConnect::Begin
     }
 
-    /// Writes the request of an attempt. Where nothing could be written, the connection carries nothing.
+    /// Writes the request of an attempt, so many microseconds after it was decided. Where nothing could be written, the connection
+    /// carries nothing.
     fn write(
         &self,
         connection: &PooledConnection<P::Payload>,
         attempt: &Attempt<P::Payload>,
-        time_left: Micros,
+        elapsed: Micros,
     ) -> io::Result<()> {
+        let time_left = attempt.time_left.saturating_sub(elapsed);
         let mut bytes = Vec::with_capacity(REQUEST_CAPACITY);
         self.protocol.encode(&attempt.payload, connection.address, time_left, &mut bytes);
         // Held while the bytes go out, so that the reader finds either no attempt or one that was begun.
@@ -149,3 +192,8 @@
         Ok(())
     }
 }
+
+/// Whether an attempt must not begin any more: it would be too late for its class, or for its client.
+fn is_late<Q>(attempt: &Attempt<Q>, elapsed: Micros) -> bool {
+    elapsed >= attempt.max_start_delay || elapsed >= attempt.time_left
+}
--- a/crates/discovery/src/watch.rs
+++ b/crates/discovery/src/watch.rs
@@ -6,6 +6,7 @@
 use link::{Connection, Incoming, locked};
 use settings::EndpointList;
 use std::convert::Infallible;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -169,7 +170,7 @@
         address: SocketAddr,
         response_timeout: Duration,
     ) -> Result<Arc<Connection>, WatchError> {
-        let connection = Arc::new(Connection::connect(address, CONNECT_TIMEOUT)?);
+        let connection = Arc::new(Connection::connect(address, CONNECT_TIMEOUT).map_err(io::Error::from)?);
         let mut agent = locked(&self.agent);
         if agent.address != address {
             return Err(WatchError::AddressChanged);
--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -43,6 +43,11 @@
         }
     }
 
+    /// The time, as the times of attempts are given.
+    pub fn now(&self) -> Micros {
+        self.clock.now()
+    }
+
     /// Asks the counter for the fleet's time, and goes by that where this process's clock is off. To be called once the counter
     /// client is set; without one there is nothing to ask.
     pub fn start_fleet_clock(&self) {
@@ -234,6 +239,11 @@
                     backends.withdraw(attempt);
                 }
             }
+            SideEffect::EndUnwritten(attempt) => {
+                if let Some(backends) = self.backends.get() {
+                    backends.end_unwritten(attempt);
+                }
+            }
             SideEffect::Answer(reply, answer) => reply(answer),
             SideEffect::CallCounter(call) => match self.counter.get() {
                 Some(counter) => counter.call(call),
--- a/crates/exchange/src/ports.rs
+++ b/crates/exchange/src/ports.rs
@@ -13,6 +13,9 @@
     /// Its request has its final answer: an attempt of which nothing is written yet ends with
     /// [`Outcome::Cancelled`](policy::Outcome::Cancelled); one that is under way goes on.
     fn withdraw(&self, attempt: AttemptId);
+    /// Nothing of it may be written any more ([`Attempt::max_start_delay`]): an attempt that is not written completely ends with
+    /// [`Outcome::NotStarted`](policy::Outcome::NotStarted); one that is goes on.
+    fn end_unwritten(&self, attempt: AttemptId);
 }
 
 /// A call to the quota counter.
--- a/crates/exchange/src/request.rs
+++ b/crates/exchange/src/request.rs
@@ -42,9 +42,11 @@
     pub id: AttemptId,
     /// The backend that the policy selected.
     pub backend: BackendId,
-    /// How long to wait for its answer.
+    /// When it was decided, by [`Exchange::now`](crate::Exchange::now).
+    pub decided_at: Micros,
+    /// How long to wait for its answer, from then on.
     pub time_left: Micros,
-    /// Nothing of it may be written later than this after now.
+    /// Nothing of it may be written later than this, from then on.
     pub max_start_delay: Micros,
     /// What is forwarded.
     pub payload: Arc<Q>,
--- a/crates/exchange/src/request_table.rs
+++ b/crates/exchange/src/request_table.rs
@@ -246,7 +246,9 @@
         }
         match request.last_outcome {
             None if !self.has_ready_backend(request.service) => FailureReason::NoBackend,
-            None | Some(Outcome::Rejected | Outcome::NotSent) => FailureReason::NoCapacity,
+            None | Some(Outcome::Rejected | Outcome::NotStarted | Outcome::NotSent) => {
+                FailureReason::NoCapacity
+            }
             Some(Outcome::ConnectFailed) => FailureReason::NoBackend,
             Some(Outcome::Timeout) => FailureReason::DeadlineExceeded,
             Some(Outcome::Ok | Outcome::Error | Outcome::Reset | Outcome::Cancelled) => {
@@ -282,6 +284,9 @@
                     self.run_events(now);
                     self.remove_if_over(attempt.request);
                 }
+                Timer::StartBy(attempt) => {
+                    self.side_effects.push_back(SideEffect::EndUnwritten(attempt));
+                }
                 Timer::Deadline(id) => self.deadline_expired(now, id),
                 Timer::FleetClock => self.call_for_fleet_clock(now),
             }
--- a/crates/exchange/src/request_table/attempts.rs
+++ b/crates/exchange/src/request_table/attempts.rs
@@ -39,7 +39,10 @@
             time_left = timeout;
             self.timers.set(now + timeout, Timer::Attempt(attempt));
         }
-        let attempt = Attempt { id: attempt, backend, time_left, max_start_delay, payload };
+        if max_start_delay < time_left {
+            self.timers.set(now + max_start_delay, Timer::StartBy(attempt));
+        }
+        let attempt = Attempt { id: attempt, backend, decided_at: now, time_left, max_start_delay, payload };
         self.side_effects.push_back(SideEffect::Start(attempt));
     }
 
--- a/crates/exchange/src/request_table/tests.rs
+++ b/crates/exchange/src/request_table/tests.rs
@@ -73,6 +73,9 @@
             }
             SideEffect::Cancel(attempt) => requested.push(format!("cancel {}", attempt.attempt)),
             SideEffect::Withdraw(attempt) => requested.push(format!("withdraw {}", attempt.attempt)),
+            SideEffect::EndUnwritten(attempt) => {
+                requested.push(format!("end unwritten {}", attempt.attempt));
+            }
             SideEffect::Answer(reply, answer) => reply(answer),
             SideEffect::CallCounter(call) => requested.push(format!("call {} add {}", call.id, call.units)),
             SideEffect::Log(notice) => requested.push(notice.to_string()),
--- a/crates/exchange/src/side_effect.rs
+++ b/crates/exchange/src/side_effect.rs
@@ -9,6 +9,7 @@
     Start(Attempt<Q>),
     Cancel(AttemptId),
     Withdraw(AttemptId),
+    EndUnwritten(AttemptId),
     Answer(Reply<A>, FinalAnswer<A>),
     CallCounter(CounterCall),
     Log(Notice),
--- a/crates/exchange/src/timers.rs
+++ b/crates/exchange/src/timers.rs
@@ -14,6 +14,8 @@
     Deadline(RequestId),
     /// The timeout of an attempt.
     Attempt(AttemptId),
+    /// When an attempt must have been written.
+    StartBy(AttemptId),
     /// The timeout of a counter call.
     CounterCall(u64),
     /// The next call of the fleet's clock.
--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -1,5 +1,6 @@
 //! Connections.
 
+use crate::connect_error::ConnectError;
 use crate::fairness::{MAX_BURST, TURN};
 use crate::lock::locked;
 use crate::socket::{Stream, Watched};
@@ -10,7 +11,7 @@
 use std::net::{self, Shutdown, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Mutex, OnceLock};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Bytes of one read at most.
 const MAX_READ: usize = 16 * 1024;
@@ -72,9 +73,11 @@
     ///
     /// # Errors
     ///
-    /// Returns the system's error.
-    pub fn connect(to: SocketAddr, timeout: Duration) -> io::Result<Self> {
-        let stream = TcpStream::connect_timeout(&to, timeout)?;
+    /// Returns the system's error, and whose it is.
+    pub fn connect(to: SocketAddr, timeout: Duration) -> Result<Self, ConnectError> {
+        let begun = Instant::now();
+        let stream = TcpStream::connect_timeout(&to, timeout);
+        let stream = stream.map_err(|error| ConnectError::new(error, begun.elapsed()))?;
         Ok(Self::from_stream(Stream::Outbound(stream)))
     }
 
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -3,6 +3,7 @@
 //! All sockets of the program are driven by one `may` worker. Each [`Connection`] has one coroutine that waits on it; any other
 //! coroutine or thread may queue bytes on it, wake it or close it without ever blocking.
 
+mod connect_error;
 mod connection;
 mod fairness;
 mod listener;
@@ -12,6 +13,7 @@
 mod tcp_info;
 mod timer;
 
+pub use connect_error::ConnectError;
 pub use connection::{Connection, Incoming};
 pub use listener::Listener;
 pub use lock::locked;
--- a/crates/policy/src/attempts.rs
+++ b/crates/policy/src/attempts.rs
@@ -18,6 +18,8 @@
 const HEDGE_COST: f64 = 5.0;
 /// Part of the time in which backends drop duplicates that is left for the journey of a retry.
 const DEDUP_MARGIN: f64 = 0.15;
+/// us; the same at the least: a gatekeeper may be held up for 0.15 s between reading its clock and writing.
+const MIN_DEDUP_MARGIN: Micros = 160_000;
 
 impl Policy {
     /// Retries that the budget holds at the most.
@@ -54,8 +56,7 @@
             Idempotency::NonIdempotent => false,
             Idempotency::Keyed => {
                 // One in flight may still wait for its connection, and would then be the later one.
-                let connected_by = self.settings.connect_timeout + self.settings.tick;
-                let has_begun = |a: &Attempt| !a.is_in_flight() || self.now >= a.sent_at + connected_by;
+                let has_begun = |a: &Attempt| !a.is_in_flight() || self.now >= a.begins_by;
                 let in_time =
                     self.now < self.start_deadline(request) && request.attempts.iter().all(has_begun);
                 in_time && self.dedup_group(request.class, backend) == first.dedup_group
@@ -71,8 +72,8 @@
         let Some(first) = first.filter(|_| class.idempotency == Idempotency::Keyed) else {
             return Micros::MAX;
         };
-        let ttl = (class.idempotency_key_ttl as f64 * (1.0 - DEDUP_MARGIN)) as Micros;
-        first.sent_at.saturating_add(ttl)
+        let margin = ((class.idempotency_key_ttl as f64 * DEDUP_MARGIN) as Micros).max(MIN_DEDUP_MARGIN);
+        first.sent_at.saturating_add(class.idempotency_key_ttl.saturating_sub(margin))
     }
 
     /// Whether a rejection, which says that a retry is harmless, would be true.
@@ -93,7 +94,14 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(backend) = self.backends.get_mut(&backend_id) else { return };
         let attempt = request.attempts.len() as u8;
-        request.attempts.push(Attempt { backend: backend_id, dedup_group, sent_at: now, outcome: None });
+        let begins_by = now + self.settings.connect_timeout + self.settings.tick;
+        request.attempts.push(Attempt {
+            backend: backend_id,
+            dedup_group,
+            sent_at: now,
+            begins_by,
+            outcome: None,
+        });
         backend.in_flight += 1;
         backend.recent_sends += 1.0;
         backend.slow_start_tokens -= 1.0;
@@ -165,8 +173,9 @@
     /// flight.
     fn retry(&mut self, id: RequestId, outcome: Outcome, out: &mut Actions) {
         let cost = match outcome {
-            // Each retry without a connection puts one more backend into backoff here, which bounds them.
-            Outcome::ConnectFailed => 0.0,
+            // Each retry without a connection puts one more backend into backoff here, which bounds them; what this
+            // gatekeeper could not begin cost nobody anything, and its attempts are counted.
+            Outcome::ConnectFailed | Outcome::NotStarted => 0.0,
             // What never ran is cheap to retry, but when all reject work retries must not multiply it.
             _ if outcome.never_ran() => BUDGET_PER_REQUEST,
             _ => 1.0,
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -76,6 +76,8 @@
     Timeout,
     /// No connection; it never ran.
     ConnectFailed,
+    /// This gatekeeper could not begin it, for want of a socket or of time: it never ran, and says nothing of its backend.
+    NotStarted,
     /// The connection broke; it may have run.
     Reset,
     /// Cancelled by this side; it may have run.
@@ -87,7 +89,7 @@
 impl Outcome {
     /// Whether this outcome proves that the attempt never ran.
     pub fn never_ran(self) -> bool {
-        matches!(self, Self::Rejected | Self::ConnectFailed | Self::NotSent)
+        matches!(self, Self::Rejected | Self::ConnectFailed | Self::NotStarted | Self::NotSent)
     }
 }
 
--- a/crates/policy/src/outlier_detection.rs
+++ b/crates/policy/src/outlier_detection.rs
@@ -99,6 +99,7 @@
                 self.pool.last_send = 0;
                 self.record_relative_latency(attempt.backend, WORST_LATENCY);
             }
+            Outcome::NotStarted => self.pool.last_send = 0,
             Outcome::Ok => {
                 backend.connect_backoff = 0;
                 backend.last_answer = now;
--- a/crates/policy/src/state/request.rs
+++ b/crates/policy/src/state/request.rs
@@ -31,6 +31,8 @@
     /// The backends that share idempotency keys with its backend.
     pub(crate) dedup_group: u32,
     pub(crate) sent_at: Micros,
+    /// By then it has begun, or never will.
+    pub(crate) begins_by: Micros,
     /// None while it is in flight.
     pub(crate) outcome: Option<Outcome>,
 }
--- a/crates/snowfield/src/appliance/startup.rs
+++ b/crates/snowfield/src/appliance/startup.rs
@@ -6,6 +6,7 @@
 use crate::cluster_settings::ClusterStart;
 use crate::error::Error;
 use crate::plan_replication::{self, PolicyInputs};
+use crate::start_retry::with_retries;
 use crate::{consul_watches, timer_thread};
 use catalogue::EndpointNumber;
 use cluster::Cluster;
@@ -145,7 +146,7 @@
 }
 
 fn listen(address: SocketAddr) -> Result<Arc<Listener>, Error> {
-    Listener::bind(address).map(Arc::new).map_err(|source| Error::Listen { address, source })
+    with_retries(|| Listener::bind(address)).map(Arc::new).map_err(|source| Error::Listen { address, source })
 }
 
 /// The policy's class of a route.
--- a/crates/snowfield/src/main.rs
+++ b/crates/snowfield/src/main.rs
@@ -21,6 +21,7 @@
 mod platform;
 mod settings_command;
 mod signals;
+mod start_retry;
 mod timer_thread;
 
 use command_line::{Command, CommandLine};
--- a/crates/snowfield/src/platform.rs
+++ b/crates/snowfield/src/platform.rs
@@ -38,7 +38,7 @@
     let signals = signals::catch()?;
     let path = std::env::var(CONFIG_VARIABLE).map_err(|_| Error::NoConfigFile)?;
     let path = PathBuf::from(path);
-    let mut file = config_file::read(&path)?;
+    let mut file = config_file::read_at_start(&path)?;
     log::init(LogFormat::Plain)?;
     if let Ok(value) = std::env::var(ADMIN_VARIABLE) {
         let address = value.parse();
--- a/crates/snowfield/src/platform/config_file.rs
+++ b/crates/snowfield/src/platform/config_file.rs
@@ -1,12 +1,13 @@
 //! The configuration file, and what it says of requests and connections.
 
 use crate::error::Error;
+use crate::start_retry::with_retries;
 use front_resp::{ClassRule, PlanRule, RequestRules};
 use policy::{Idempotency, Micros};
 use settings::platform::PlatformConfig;
 use settings::{KeySet, NumberedClass, Numbering};
 use std::fs::File;
-use std::io::Read;
+use std::io::{self, Read};
 use std::path::Path;
 use std::time::Duration;
 
@@ -27,9 +28,26 @@
 ///
 /// It cannot be read or used.
 pub(super) fn read(path: &Path) -> Result<ConfigFile, Error> {
+    parse(path, read_bytes(path).map_err(Error::file(path))?)
+}
+
+/// The same at a start, which a file that cannot be opened for a moment must not end. A reload is not tried again: signals wait
+/// meanwhile.
+///
+/// # Errors
+///
+/// It cannot be read or used.
+pub(super) fn read_at_start(path: &Path) -> Result<ConfigFile, Error> {
+    parse(path, with_retries(|| read_bytes(path)).map_err(Error::file(path))?)
+}
+
+fn read_bytes(path: &Path) -> io::Result<Vec<u8>> {
     let mut json = Vec::new();
-    let file = File::open(path).map_err(Error::file(path))?;
-    file.take(MAX_BYTES + 1).read_to_end(&mut json).map_err(Error::file(path))?;
+    File::open(path)?.take(MAX_BYTES + 1).read_to_end(&mut json)?;
+    Ok(json)
+}
+
+fn parse(path: &Path, mut json: Vec<u8>) -> Result<ConfigFile, Error> {
     if json.len() as u64 > MAX_BYTES {
         return Err(Error::FileTooLong { path: path.to_owned(), limit: MAX_BYTES });
     }
--- a/crates/snowfield/src/platform/startup.rs
+++ b/crates/snowfield/src/platform/startup.rs
@@ -8,6 +8,7 @@
 use crate::admin_service::AdminService;
 use crate::error::Error;
 use crate::hot_restart::{self, HotRestart};
+use crate::start_retry::with_retries;
 use counter::CounterClient;
 use discovery::Watch;
 use front_resp::Front;
@@ -105,7 +106,7 @@
     admin: &Arc<AdminService>,
 ) -> Result<Option<AdminListener>, Error> {
     let Some(address) = config.admin else { return Ok(None) };
-    let listener = AdminListener::start(address, admin.clone())
+    let listener = with_retries(|| AdminListener::start(address, admin.clone()))
         .map_err(|source| Error::AdminListener { address, source })?;
     tracing::info!("{}: operators are answered on {}", config.name, listener.address);
     Ok(Some(listener))
@@ -122,7 +123,8 @@
     }
     hot_restart.admin.restore_ejections();
     let address = config.listen;
-    let listener = Listener::bind(address).map_err(|source| Error::Listen { address, source })?;
+    let listener =
+        with_retries(|| Listener::bind(address)).map_err(|source| Error::Listen { address, source })?;
     Ok((listener, None))
 }
 
@@ -158,6 +160,14 @@
 fn await_successors(hot_restart: &Arc<HotRestart>, directory: &Path, listener: &Arc<Listener>) {
     match UpgradeSocket::bind(directory) {
         Ok(socket) => hot_restart.serve_successors(socket, listener),
-        Err(error) => tracing::warn!("upgrade: the next program cannot call this one: {error}"),
+        Err(error) => {
+            tracing::warn!("upgrade: the next program cannot call this one: {error}; tried again");
+            let (hot_restart, listener) = (hot_restart.clone(), listener.clone());
+            let directory = directory.to_owned();
+            std::thread::spawn(move || match with_retries(|| UpgradeSocket::bind(&directory)) {
+                Ok(socket) => hot_restart.serve_successors(socket, &listener),
+                Err(error) => tracing::warn!("upgrade: the next program cannot call this one: {error}"),
+            });
+        }
     }
 }
--- a/crates/snowfield/src/signals.rs
+++ b/crates/snowfield/src/signals.rs
@@ -2,6 +2,7 @@
 //! serves an overlap, closes client connections between requests, and answers what was accepted.
 
 use crate::error::Error;
+use crate::start_retry::with_retries;
 use link::Listener;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -40,7 +41,7 @@
 ///
 /// The system refuses a handler.
 pub fn catch() -> Result<Signals, Error> {
-    Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(Error::Signals)
+    with_retries(|| Signals::new([SIGTERM, SIGINT, SIGHUP])).map_err(Error::Signals)
 }
 
 /// Serves until a signal asks for the end, then shuts down gracefully. `listener` is closed after the overlap.
--- a/crates/snowfield/tests/endings.rs
+++ b/crates/snowfield/tests/endings.rs
@@ -203,6 +203,8 @@
     let site = site_of("keyed", &Shape { destinations: &[breaks], ..Shape::default() }, |text| {
         text.replace(r#""effect":"read_like""#, r#""effect":"idempotency_key","key-ttl-us":800000"#)
             .replace(r#""connect-timeout-us":250000"#, r#""connect-timeout-us":2000000"#)
+            // A connection that comes up for nobody is kept for others for half of this.
+            .replace(r#""keepalive-us":30000000"#, r#""keepalive-us":4000000"#)
     });
     let mut client = Client::connect(site.listen);
     let fields = "c=lookup,t=team,d=2400,k=5c0f6e1a2b3d4c59,units=1,spread=1,first=0";
