Guards on sending, repeating, closing and starting; requests at the end of a shutdown are answered

Guards: each looks at its rule by itself right before the step, counts violations (telemetry: balancer_invariant_violations_total) and logs them with ids; never a panic. The soak fails on one. An attempt is not written any more where its backend was ejected, drained or moved since it was chosen. Soak: two restarts of one gatekeeper no longer share a process number; the silent counter keeps to the order of answers (its old form made gatekeepers read each other's totals: a fault of the stand-in); seeded faults gone, deadlines, drained, repeats, quotas, cold for builds that break a rule.

--- a/crates/destination/src/attempt.rs
+++ b/crates/destination/src/attempt.rs
@@ -5,14 +5,21 @@
 use crate::pools::{BackendPools, Carrier};
 use crate::protocol::Protocol;
 use exchange::{Attempt, AttemptId, Backends};
+use invariants::Guard;
 use link::{ConnectError, Connection, locked, spawn};
-use policy::{BackendState, Micros, Outcome};
+use policy::{Micros, Outcome};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+/// A gatekeeper may be held up for so long between reading its clock and writing.
+const HOLD_UP: Micros = 150_000;
+/// A change of the list may be so old that an attempt that was chosen before is only now to be written.
+const RECENT_CHANGE: Duration = Duration::from_millis(500);
+/// Microseconds by which a build with seeded faults passes on a deadline that is too late.
+const SEEDED_EXTRA_TIME: Micros = 400_000;
 /// Bytes that most requests fit in.
 const REQUEST_CAPACITY: usize = 512;
 
@@ -103,6 +110,30 @@
         carrier.is_some()
     }
 
+    /// The guard on sending, right before the write: whether the attempt is wanted, in time, and at a backend that takes work at this
+    /// address. What has changed since the connection was chosen is refused here; a violation is reported where that was long ago.
+    fn may_send(&self, attempt: &Attempt<P::Payload>, address: SocketAddr) -> bool {
+        let elapsed = self.elapsed(attempt);
+        let (is_wanted, takes_work, is_recent) = {
+            let state = locked(&self.state);
+            let pool = state.pools.get(&attempt.backend);
+            let accepts = pool.is_some_and(|pool| pool.accepts(address));
+            let is_recent = pool.is_some_and(|pool| pool.changed.elapsed() < RECENT_CHANGE);
+            let is_ejected = state.operator_ejections.contains(&attempt.backend);
+            (state.carriers.contains_key(&attempt.id), accepts && !is_ejected, is_recent || is_ejected)
+        };
+        let AttemptId { request, attempt: number } = attempt.id;
+        invariants::check(
+            Guard::Sending,
+            (takes_work || is_recent) && elapsed < attempt.time_left + HOLD_UP,
+            format_args!(
+                "request {request}, attempt {number} at backend {}: takes work {takes_work}, {elapsed} of {} us",
+                attempt.backend, attempt.time_left
+            ),
+        );
+        is_wanted && takes_work
+    }
+
     /// Microseconds since an attempt was decided. Read anew before anything is written: the process may have been held up.
     fn elapsed(&self, attempt: &Attempt<P::Payload>) -> Micros {
         self.exchange().now().saturating_sub(attempt.decided_at)
@@ -159,9 +190,8 @@
             Err(_) => return AfterConnect::Fail(Outcome::ConnectFailed),
         };
         // A backend that drains, went or moved while the connection was established gets nothing new.
-        let takes_work = state.pools.get(&attempt.backend).is_some_and(|pool| {
-            pool.endpoint.state == BackendState::Ready && pool.endpoint.address == connection.address
-        });
+        let takes_work =
+            state.pools.get(&attempt.backend).is_some_and(|pool| pool.accepts(connection.address));
         if !takes_work || state.operator_ejections.contains(&attempt.backend) || is_late(attempt, elapsed) {
             return AfterConnect::Fail(Outcome::NotStarted);
         }
@@ -181,7 +211,13 @@
         attempt: &Attempt<P::Payload>,
         elapsed: Micros,
     ) -> io::Result<()> {
-        let time_left = attempt.time_left.saturating_sub(elapsed);
+        if !self.may_send(attempt, connection.address) {
+            return Err(io::ErrorKind::NotConnected.into());
+        }
+        let mut time_left = attempt.time_left.saturating_sub(elapsed);
+        if seeded_faults::is_active("deadlines") {
+            time_left += SEEDED_EXTRA_TIME;
+        }
         let mut bytes = Vec::with_capacity(REQUEST_CAPACITY);
         self.protocol.encode(&attempt.payload, connection.address, time_left, &mut bytes);
         // Held while the bytes go out, so that the reader finds either no attempt or one that was begun.
--- a/crates/destination/src/pools.rs
+++ b/crates/destination/src/pools.rs
@@ -75,6 +75,8 @@
 /// The pool of one backend.
 pub(crate) struct Pool<Q> {
     pub(crate) endpoint: BackendEndpoint,
+    /// When its state or address changed last.
+    pub(crate) changed: Instant,
     /// The one used last at the end.
     pub(crate) idle: Vec<IdleConnection<Q>>,
 }
@@ -109,7 +111,15 @@
         });
     }
 
+    /// Whether the backend takes work at this address.
+    pub(crate) fn accepts(&self, address: SocketAddr) -> bool {
+        self.endpoint.state == BackendState::Ready && self.endpoint.address == address
+    }
+
     fn update(&mut self, endpoint: &BackendEndpoint) {
+        if self.endpoint != *endpoint {
+            self.changed = Instant::now();
+        }
         let has_moved =
             self.endpoint.address != endpoint.address || self.endpoint.started != endpoint.started;
         self.endpoint = endpoint.clone();
@@ -187,7 +197,7 @@
             match state.pools.get_mut(&endpoint.id) {
                 Some(pool) => pool.update(endpoint),
                 None => {
-                    let pool = Pool { endpoint: endpoint.clone(), idle: Vec::new() };
+                    let pool = Pool { endpoint: endpoint.clone(), changed: Instant::now(), idle: Vec::new() };
                     state.pools.insert(endpoint.id, pool);
                 }
             }
--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -85,6 +85,9 @@
 
     /// The client of this request disconnected: it needs no answer, and its attempts are cancelled.
     pub fn client_gone(&self, id: RequestId) {
+        if seeded_faults::is_active("gone") {
+            return;
+        }
         self.drive(|table, now| table.client_gone(now, id));
     }
 
--- a/crates/exchange/src/in_flight.rs
+++ b/crates/exchange/src/in_flight.rs
@@ -9,6 +9,8 @@
     pub(crate) backend: BackendId,
     pub(crate) sent_at: Micros,
     pub(crate) is_open: bool,
+    /// How it ended.
+    pub(crate) outcome: Option<Outcome>,
 }
 
 /// A request in the table.
--- a/crates/exchange/src/request_table.rs
+++ b/crates/exchange/src/request_table.rs
@@ -3,6 +3,7 @@
 mod attempts;
 mod backends;
 mod counter_calls;
+mod repeat_guard;
 #[cfg(test)]
 mod tests;
 
@@ -16,6 +17,7 @@
 use policy::{
     Action, BackendId, Event, FleetSummary, Micros, Outcome, Policy, RequestId, Settings, SettingsError,
 };
+use repeat_guard::RepeatRule;
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
@@ -35,6 +37,8 @@
     counter_timeout: Micros,
     /// Timers that expire within this time of each other may run together: the tick of the policy.
     pub(crate) tick: Micros,
+    /// When requests of each class may be sent once more.
+    repeat_rules: Vec<RepeatRule>,
     /// The service of each class, and of each known backend.
     class_services: Vec<u16>,
     backend_services: HashMap<BackendId, u16>,
@@ -71,6 +75,7 @@
         let classes = vec![AnswerCounts::default(); class_services.len()];
         let counting_gatekeepers = if settings.shared_counter { settings.gatekeepers } else { 1 };
         Ok(Self {
+            repeat_rules: settings.classes.iter().map(RepeatRule::of).collect(),
             class_services,
             backend_services: HashMap::new(),
             max_attempts: settings.max_attempts as usize,
@@ -220,7 +225,11 @@
         let (max_attempts, tick) = (settings.max_attempts as usize, settings.tick);
         let counter_timeout = settings.counter_timeout;
         let class_services: Vec<u16> = settings.classes.iter().map(|class| class.service).collect();
+        let repeat_rules: Vec<RepeatRule> = settings.classes.iter().map(RepeatRule::of).collect();
         self.policy.update_settings(settings)?;
+        // Classes keep their numbers: those that the new settings lack stay as they were, for requests in flight.
+        let replaced = repeat_rules.len().min(self.repeat_rules.len());
+        self.repeat_rules.splice(..replaced, repeat_rules);
         self.max_attempts = max_attempts;
         self.counter_timeout = counter_timeout;
         self.tick = tick;
--- a/crates/exchange/src/request_table/attempts.rs
+++ b/crates/exchange/src/request_table/attempts.rs
@@ -1,6 +1,6 @@
 //! Attempts of the requests in the table.
 
-use super::RequestTable;
+use super::{RequestTable, repeat_guard};
 use crate::counts::{AnswerKind, BackendStatus};
 use crate::in_flight::InFlightAttempt;
 use crate::request::{Attempt, AttemptEnd, AttemptId, FinalAnswer, StreamEnd};
@@ -22,7 +22,11 @@
         let attempt = AttemptId { request: id, attempt: request.attempts.len() as u8 };
         let is_exhausted = request.attempts.len() >= self.max_attempts;
         let is_pointless = request.is_over() || now >= request.deadline || is_exhausted;
-        request.attempts.push(InFlightAttempt { backend, sent_at: now, is_open: true });
+        let earlier = &request.attempts[..];
+        if !is_pointless && !earlier.is_empty() {
+            repeat_guard::check(now, id, &self.repeat_rules, request.class, earlier);
+        }
+        request.attempts.push(InFlightAttempt { backend, sent_at: now, is_open: true, outcome: None });
         if is_pointless {
             self.close_attempt(now, attempt, Outcome::NotSent, Vec::new());
             self.remove_if_over(id);
@@ -66,6 +70,7 @@
         let attempt = request.attempts.get_mut(usize::from(id.attempt));
         let Some(attempt) = attempt.filter(|attempt| attempt.is_open) else { return false };
         attempt.is_open = false;
+        attempt.outcome = Some(outcome);
         request.last_outcome = Some(outcome);
         if let Some(backend) = self.status.backends.get_mut(&attempt.backend) {
             backend.in_flight = backend.in_flight.saturating_sub(1);
--- a/crates/front_resp/src/dispatch.rs
+++ b/crates/front_resp/src/dispatch.rs
@@ -6,6 +6,7 @@
 use crate::limits::{MAX_UNREAD, MAX_UNREAD_UNDER_PRESSURE, MAX_WAITING};
 use crate::memory::Reservation;
 use exchange::{AnswerBody, FinalAnswer, Request, StreamReader};
+use invariants::Guard;
 use link::locked;
 use resp::Query;
 use std::ops::Range;
@@ -109,6 +110,11 @@
         request: Request<Query>,
         open_id: OpenId,
     ) {
+        invariants::check(
+            Guard::Starting,
+            self.is_ready.load(Ordering::Acquire),
+            format_args!("a request was taken before this process served"),
+        );
         locked(&client.queue).waiting += 1;
         let (front, answered) = (self.clone(), client.clone());
         let reply = move |answer| {
--- a/crates/front_resp/src/front.rs
+++ b/crates/front_resp/src/front.rs
@@ -11,6 +11,7 @@
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Instant;
 
 /// What this front forwards and gets back.
 pub type RespExchange = Exchange<Query, AnswerBody>;
@@ -98,21 +99,31 @@
                 self.make_room(1);
                 sleep(ROOM_CHECK);
             }
-            self.open(socket, Vec::new());
+            self.open(socket, Vec::new(), None);
         }
     }
 
     /// Continues with a connection that another process has served: it has sent requests, and maybe begun one.
     pub fn adopt(self: &Arc<Self>, socket: Connection, incomplete: Vec<u8>) {
-        let client = self.open(socket, incomplete);
+        // How long ago its last bytes came: an incomplete request is owed its error by then, whichever process it began at.
+        let waited = socket.time_since_last_data().unwrap_or_default();
+        let began = Instant::now().checked_sub(waited).filter(|_| !incomplete.is_empty());
+        let client = self.open(socket, incomplete, began);
         let mut queue = locked(&client.queue);
         queue.had_valid_command = true;
         queue.had_request = true;
     }
 
-    fn open(self: &Arc<Self>, socket: Connection, incomplete: Vec<u8>) -> Arc<ClientConnection> {
+    /// `incomplete_since`: since when what was read of a request by another process is incomplete.
+    fn open(
+        self: &Arc<Self>,
+        socket: Connection,
+        incomplete: Vec<u8>,
+        incomplete_since: Option<Instant>,
+    ) -> Arc<ClientConnection> {
         let (half, unread) = (&self.memory.incomplete, &self.memory.unread);
         let client = ClientConnection::new(socket, Reservation::empty(half), Reservation::empty(unread));
+        locked(&client.queue).incomplete_since = incomplete_since;
         let number = {
             let mut connections = locked(&self.connections);
             connections.last_number += 1;
@@ -120,6 +131,10 @@
             connections.open.insert(number, client.clone());
             number
         };
+        if self.is_closing() {
+            // It is read once, and then ends.
+            client.socket.wake();
+        }
         let (front, served) = (self.clone(), client.clone());
         spawn(move || {
             front.serve(&served, incomplete);
--- a/crates/front_resp/src/reader.rs
+++ b/crates/front_resp/src/reader.rs
@@ -7,8 +7,10 @@
     ERROR_PENALTY, MAX_BURST, MAX_KEPT_BUFFER, MAX_QUEUED, MAX_READ, READS_WHILE_ENDING, ROOM_CHECK, TURN,
     USUAL_REQUEST,
 };
+use invariants::Guard;
 use link::{Incoming, locked, sleep};
 use resp::Malformed;
+use std::collections::VecDeque;
 use std::ops::Range;
 use std::sync::Arc;
 use std::time::Instant;
@@ -17,6 +19,7 @@
 const NO_ROOM: &str = "no room for so long a command";
 
 /// Why a connection ends.
+#[derive(Clone, Copy, Debug)]
 enum End {
     /// Its client has gone: nobody waits for anything on it.
     ClientGone,
@@ -30,6 +33,20 @@
     Error(&'static str),
 }
 
+/// The guard on closing: whoever is still there has the answers to all that was taken.
+fn check_closing(client: &ClientConnection, end: End, unanswered: &VecDeque<Slot>) {
+    let waits_for_answer = |slot: &Slot| matches!(slot, Slot::Waiting(_));
+    let waiting = unanswered.iter().filter(|slot| waits_for_answer(slot)).count();
+    // Who leaves, or reads so slowly that this process has closed the connection, gets nothing more.
+    let is_gone =
+        matches!(end, End::ClientGone) || client.socket.is_peer_closed() || client.socket.is_closed();
+    invariants::check(
+        Guard::Closing,
+        is_gone || waiting == 0,
+        format_args!("{waiting} requests have no answer where a connection ends: {end:?}"),
+    );
+}
+
 /// What was taken from a buffer.
 struct Taken {
     bytes: usize,
@@ -40,14 +57,16 @@
 impl Front {
     /// Reads commands until the client leaves or cannot be understood. `incomplete` was read by another process.
     pub(crate) fn serve(self: &Arc<Self>, client: &Arc<ClientConnection>, incomplete: Vec<u8>) {
-        match self.read_commands(client, incomplete) {
+        let end = self.read_commands(client, incomplete);
+        match end {
             End::Error(text) => self.end_with_error(client, text),
             End::HandedOver => return,
             End::Shutdown => self.finish(client),
             End::Idle | End::ClientGone => {}
         }
-        client.socket.close();
         let unanswered = locked(&client.queue).take_all();
+        check_closing(client, end, &unanswered);
+        client.socket.close();
         for slot in unanswered {
             // Streamed answers end with their slots.
             if let Slot::Waiting(Some(id)) = slot {
@@ -58,6 +77,9 @@
 
     fn read_commands(self: &Arc<Self>, client: &Arc<ClientConnection>, incomplete: Vec<u8>) -> End {
         let mut buffer = incomplete;
+        // While the process shuts down, what has waited in a new connection is still taken: its client has sent it on a connection
+        // that this machine has accepted.
+        let mut may_end = false;
         loop {
             if self.is_handing_over() && self.hand_over(client, &mut buffer) {
                 return End::HandedOver;
@@ -75,9 +97,11 @@
             if buffer.is_empty() && buffer.capacity() > MAX_KEPT_BUFFER {
                 buffer = Vec::new();
             }
-            if let Some(end) = self.note_incomplete(client, buffer.len(), taken.bytes > 0) {
+            let end = self.note_incomplete(client, buffer.len(), taken.bytes > 0);
+            if let Some(end) = end.or_else(|| may_end.then(|| self.end_by_shutdown(client)).flatten()) {
                 return end;
             }
+            may_end = true;
             if taken.has_errors {
                 sleep(ERROR_PENALTY);
             } else if taken.commands > MAX_BURST {
@@ -124,8 +148,13 @@
         if queue.len() > MAX_QUEUED {
             return Some(End::Error("too many commands at once"));
         }
-        // A client that always has another command on its way would never be found between requests.
-        self.ends_by_shutdown(&mut queue)
+        None
+    }
+
+    /// Whether the connection ends as the process shuts down. Asked between reads too: a client that always has another command on
+    /// its way would never be found between requests.
+    fn end_by_shutdown(&self, client: &ClientConnection) -> Option<End> {
+        self.ends_by_shutdown(&mut locked(&client.queue))
     }
 
     fn ends_by_shutdown(&self, queue: &mut AnswerQueue) -> Option<End> {
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -8,5 +8,5 @@
 mod reply;
 
 pub use command::{Command, CommandError, MAX_LINE_BYTES};
-pub use metrics::{ClassMetrics, Metrics, RejectionCount};
+pub use metrics::{ClassMetrics, Metrics, RejectionCount, ViolationCount};
 pub use reply::reply;
--- a/crates/operator/src/metrics.rs
+++ b/crates/operator/src/metrics.rs
@@ -24,6 +24,15 @@
     pub count: u64,
 }
 
+/// How often one of the rules that are checked while the process runs was violated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ViolationCount {
+    /// The guard, as the series' label has it.
+    pub guard: &'static str,
+    /// Violations.
+    pub count: u64,
+}
+
 /// The metrics of one process. All counts are since its start.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Metrics {
@@ -43,6 +52,8 @@
     pub reloads: u64,
     /// Configuration files that were rejected at SIGHUP.
     pub reload_errors: u64,
+    /// Violations of invariants, by guard.
+    pub violations: Vec<ViolationCount>,
 }
 
 impl Metrics {
@@ -63,6 +74,9 @@
         ] {
             write_series(&mut text, name, None, value);
         }
+        for ViolationCount { guard, count } in &self.violations {
+            write_series(&mut text, "invariant_violations_total", Some(("guard", guard)), *count);
+        }
         text.push_str("END\n");
         text
     }
--- a/crates/operator/src/metrics/tests.rs
+++ b/crates/operator/src/metrics/tests.rs
@@ -7,8 +7,15 @@
     let class = ClassMetrics { name: "C".into(), completed: 812, rejected: 3, failed: 1 };
     let rejections =
         vec![RejectionCount { reason: "quota", count: 2 }, RejectionCount { reason: "no_place", count: 1 }];
-    let metrics =
-        Metrics { classes: vec![class], rejections, pending: 14, backends: 10, ..Metrics::default() };
+    let violations = vec![ViolationCount { guard: "sending", count: 2 }];
+    let metrics = Metrics {
+        classes: vec![class],
+        rejections,
+        violations,
+        pending: 14,
+        backends: 10,
+        ..Metrics::default()
+    };
     let text = metrics.to_text();
     assert!(text.starts_with("OK\n") && text.ends_with("\nEND\n"));
     for line in [
@@ -23,6 +30,7 @@
         "balancer_members_unavailable 0",
         "balancer_config_reloads_total 0",
         "balancer_config_reload_errors_total 0",
+        "balancer_invariant_violations_total{guard=\"sending\"} 2",
     ] {
         assert_eq!(text.lines().filter(|l| *l == line).count(), 1, "{line}");
     }
--- a/crates/platform_soak/src/gatekeeper.rs
+++ b/crates/platform_soak/src/gatekeeper.rs
@@ -60,6 +60,8 @@
     history: History,
     processes: Mutex<Vec<Process>>,
     changed: Condvar,
+    /// Held while a process takes the place of another: what replaces one waits for what replaces it already.
+    replacing: Mutex<()>,
 }
 
 impl Gatekeeper {
@@ -87,6 +89,7 @@
             history: history.clone(),
             processes: Mutex::default(),
             changed: Condvar::new(),
+            replacing: Mutex::default(),
         }))
     }
 
@@ -246,6 +249,7 @@
     ///
     /// The program cannot be started.
     pub fn restart(self: &Arc<Self>, kill_after: Duration, clock_offset_us: i64) -> io::Result<()> {
+        let _replacing = lock(&self.replacing);
         if let Some(number) = self.newest() {
             self.terminate(number, kill_after);
         }
@@ -260,6 +264,7 @@
     ///
     /// The program cannot be started.
     pub fn crash(self: &Arc<Self>, pause: Duration, clock_offset_us: i64) -> io::Result<()> {
+        let _replacing = lock(&self.replacing);
         if let Some(number) = self.newest() {
             self.kill_process(number);
         }
@@ -275,6 +280,7 @@
     ///
     /// The program cannot be started.
     pub fn upgrade(self: &Arc<Self>, kill_after: Duration, clock_offset_us: i64) -> io::Result<()> {
+        let _replacing = lock(&self.replacing);
         let predecessor = self.newest();
         self.start(clock_offset_us)?;
         self.wait_until_ready();
@@ -303,6 +309,7 @@
 
     /// Ends all processes: the newest by SIGTERM.
     pub fn stop(&self, kill_after: Duration) {
+        let _replacing = lock(&self.replacing);
         if let Some(number) = self.newest() {
             self.terminate(number, kill_after);
         }
--- a/crates/platform_soak/src/history.rs
+++ b/crates/platform_soak/src/history.rs
@@ -243,6 +243,8 @@
     pub list_changes: Vec<ListChange>,
     /// Discovery agents.
     pub agent_changes: Vec<AgentChange>,
+    /// When so many gatekeepers lost the counter, or had it again.
+    pub counter_changes: Vec<(Moment, usize)>,
     /// Lists that were written.
     pub notifications: Vec<Notification>,
     /// Requests that never became whole.
--- a/crates/platform_soak/src/main.rs
+++ b/crates/platform_soak/src/main.rs
@@ -101,6 +101,9 @@
     if is_verbose || !violations.is_empty() {
         schedule.troubles.iter().for_each(|planned| println!("    {planned}"));
     }
+    if is_verbose {
+        records.processes.iter().for_each(|record| println!("    {record:?}"));
+    }
     violations.iter().take(MAX_PRINTED).for_each(|violation| println!("  {violation}"));
     if violations.len() > MAX_PRINTED {
         println!("  and {} more", violations.len() - MAX_PRINTED);
--- a/crates/platform_soak/src/schedule.rs
+++ b/crates/platform_soak/src/schedule.rs
@@ -13,7 +13,7 @@
 /// How long before the end the last trouble begins.
 const QUIET_END: Duration = Duration::from_millis(3_000);
 /// Steps of a wall clock, in seconds.
-const CLOCK_STEPS_S: [i64; 6] = [3_600, -3_600, 5, -5, 2, 90_000];
+const CLOCK_STEPS_S: [i64; 6] = [3_600, -3_600, 5, -5, 2, 40_000];
 /// How long a suspension is: a gatekeeper may be held up for 0.15 s.
 const SUSPENSION: Duration = Duration::from_millis(140);
 const MICROS_PER_SECOND: i64 = 1_000_000;
--- a/crates/platform_soak/src/stand_ins/counter.rs
+++ b/crates/platform_soak/src/stand_ins/counter.rs
@@ -12,6 +12,8 @@
 
 /// The longest life of a name, in milliseconds.
 const MAX_LIFE_MS: u64 = 60_000;
+/// How long a connection is kept that nobody ends.
+const LONGEST_WAIT: Duration = Duration::from_secs(30);
 /// How much later a slow counter answers.
 const SLOW_ANSWER: Duration = Duration::from_millis(25);
 
@@ -86,7 +88,8 @@
                 None => return,
             };
             match mode {
-                CounterMode::Silent => continue,
+                // No answer can follow: answers come in the order of their calls.
+                CounterMode::Silent => return super::wait_for_end(&mut stream, LONGEST_WAIT),
                 CounterMode::Resetting => return super::reset(&stream),
                 CounterMode::Slow => thread::sleep(SLOW_ANSWER),
                 CounterMode::Healthy | CounterMode::Rejecting => {}
--- a/crates/platform_soak/src/troubles.rs
+++ b/crates/platform_soak/src/troubles.rs
@@ -91,8 +91,10 @@
         }
         Trouble::Counter { mode } => {
             site.counter.set_mode(mode);
+            note_counter_change(site, site.gatekeepers.len());
             thread::sleep(length);
             site.counter.set_mode(CounterMode::Healthy);
+            note_counter_change(site, site.gatekeepers.len());
         }
         Trouble::Backend { backend, mode } => {
             site.backends[backend].set_mode(mode);
@@ -159,9 +161,26 @@
             }
         }
     };
+    let affected = site.gatekeepers.iter().skip(first).step_by(step).count();
     set(true);
+    if cuts_off_the_counter(faults) {
+        note_counter_change(site, affected);
+    }
     thread::sleep(length);
     set(false);
+    if cuts_off_the_counter(faults) {
+        note_counter_change(site, affected);
+    }
+}
+
+/// Whether calls to the counter fail with these faults.
+fn cuts_off_the_counter(faults: CallFaults) -> bool {
+    matches!(faults, CallFaults::Sockets | CallFaults::BrokenConnections | CallFaults::NoConnections)
+}
+
+fn note_counter_change(site: &Site, gatekeepers: usize) {
+    let change = (site.history.now(), gatekeepers);
+    site.history.record(|records| records.counter_changes.push(change));
 }
 
 fn badly_behaved(
--- a/crates/snowfield/src/admin_service.rs
+++ b/crates/snowfield/src/admin_service.rs
@@ -7,8 +7,9 @@
 use destination::{BackendPools, RespProtocol};
 use front_resp::RespExchange;
 use handover::{Message, Peer};
+use invariants::Guard;
 use link::locked;
-use operator::{ClassMetrics, Metrics, RejectionCount};
+use operator::{ClassMetrics, Metrics, RejectionCount, ViolationCount};
 use policy::RejectReason;
 use std::collections::HashMap;
 use std::path::PathBuf;
@@ -224,6 +225,7 @@
             backends_unavailable: backends.unavailable,
             reloads: self.reloads.load(Ordering::Relaxed),
             reload_errors: self.reload_errors.load(Ordering::Relaxed),
+            violations: Guard::ALL.into_iter().map(violation_count).collect(),
         }
     }
 
@@ -238,3 +240,7 @@
         if known || known_to_peer { Ok(()) } else { Err(AdminError::UnknownBackend) }
     }
 }
+
+fn violation_count(guard: Guard) -> ViolationCount {
+    ViolationCount { guard: guard.name(), count: invariants::violations(guard) }
+}
--- a/crates/snowfield/src/endpoint_ids.rs
+++ b/crates/snowfield/src/endpoint_ids.rs
@@ -118,6 +118,7 @@
 fn state(endpoint: &Endpoint) -> BackendState {
     match endpoint.state.as_str() {
         "up" => BackendState::Ready,
+        "draining" if seeded_faults::is_active("drained") => BackendState::Ready,
         "draining" => BackendState::Draining,
         "removed" => BackendState::Gone,
         other => {
--- a/crates/snowfield/src/platform.rs
+++ b/crates/snowfield/src/platform.rs
@@ -93,6 +93,10 @@
         self.running.front.open_connections() + self.running.hot_restart.connections_passing()
     }
 
+    fn unanswered(&self) -> usize {
+        self.running.hot_restart.exchange.unanswered()
+    }
+
     fn longest_deadline(&self) -> Duration {
         Duration::from_micros(self.running.longest_deadline_us.load(Ordering::Relaxed))
     }
--- a/crates/snowfield/src/platform/core.rs
+++ b/crates/snowfield/src/platform/core.rs
@@ -12,7 +12,7 @@
 use exchange::{Clock, Exchange, QuotaCounter};
 use front_resp::{Front, RespExchange};
 use link::spawn_with;
-use policy::{ListKind, Settings};
+use policy::{Idempotency, ListKind, Settings};
 use settings::Numbering;
 use settings::platform::PlatformConfig;
 use std::path::PathBuf;
@@ -28,6 +28,9 @@
 /// The part of the memory that streamed values may hold together is one in this many.
 const STREAMS_PART: usize = 4;
 
+/// By how much a build with seeded faults raises the rates of plans.
+const SEEDED_RATE_FACTOR: f64 = 3.0;
+
 /// The request table with the two sides that it drives.
 pub(super) struct Core {
     pub(super) exchange: Arc<RespExchange>,
@@ -47,6 +50,7 @@
         settings: Settings,
         max_connections: usize,
     ) -> Result<Self, Error> {
+        let settings = with_seeded_faults(settings);
         let clock = Clock::start();
         let protocol = RespProtocol::new(&settings.load_metrics);
         let exchange = Exchange::new(settings, config.seed, clock)?;
@@ -148,3 +152,20 @@
         });
     }
 }
+
+/// Settings that a build with seeded faults gets wrong on purpose.
+fn with_seeded_faults(mut settings: Settings) -> Settings {
+    if seeded_faults::is_active("repeats") {
+        settings.classes.iter_mut().for_each(|class| class.idempotency = Idempotency::Idempotent);
+    }
+    if seeded_faults::is_active("quotas") {
+        for plan in &mut settings.plans {
+            plan.rate *= SEEDED_RATE_FACTOR;
+            plan.ceiling_rate *= SEEDED_RATE_FACTOR;
+        }
+    }
+    if seeded_faults::is_active("cold") {
+        settings.slow_start_duration = 0;
+    }
+    settings
+}
--- a/crates/snowfield/src/platform/startup.rs
+++ b/crates/snowfield/src/platform/startup.rs
@@ -13,6 +13,7 @@
 use discovery::Watch;
 use front_resp::Front;
 use handover::{Peer, UpgradeSocket};
+use invariants::Guard;
 use link::{Listener, spawn};
 use settings::Numbering;
 use settings::platform::PlatformConfig;
@@ -31,6 +32,8 @@
 /// How long a process waits for its first list before it serves: the cached one may be old, and what the agent has counts as
 /// known from the first moment on.
 const FIRST_LIST_TIMEOUT: Duration = Duration::from_millis(500);
+/// A restarted process serves within this.
+const START_LIMIT: Duration = Duration::from_secs(10);
 /// How often a start looks whether the fleet's clock has been read.
 const FLEET_CLOCK_CHECK: Duration = Duration::from_millis(2);
 /// The directory that a process shares with its predecessor and successor.
@@ -55,6 +58,7 @@
 ///
 /// An address cannot be listened on, or the policy cannot work by the settings.
 pub(super) fn start(file: ConfigFile, path: &Path) -> Result<Running, Error> {
+    let started = Instant::now();
     let ConfigFile { config, keys } = file;
     let mut numbering = Numbering::default();
     let settings = numbering.update(&config).map_err(Error::settings(path))?;
@@ -82,6 +86,12 @@
         await_successors(&hot_restart, directory, &listener);
     }
     serve(&front, &admin, &listener, &config)?;
+    let took = started.elapsed();
+    invariants::check(
+        Guard::Starting,
+        took < START_LIMIT,
+        format_args!("it took {took:?} until this process served"),
+    );
     if let Some(predecessor) = predecessor {
         hot_restart.follow_predecessor(predecessor);
     }
--- a/crates/snowfield/src/signals.rs
+++ b/crates/snowfield/src/signals.rs
@@ -10,7 +10,7 @@
 
 /// New connections still arrive for up to 0.4 s after SIGTERM.
 pub const OVERLAP: Duration = Duration::from_millis(500);
-/// Past the longest deadline nothing can be unanswered; this is for a busy machine.
+/// For a busy machine, and for clients that still read their last answer.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(300);
 /// How often the end of the overlap, and of the last requests, is checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(5);
@@ -31,7 +31,11 @@
     fn close_connections(&self);
     /// How many client connections are left.
     fn open_connections(&self) -> usize;
-    /// No request can be unanswered for longer than this.
+    /// How many requests have no final answer, where some may wait for longer than the longest deadline.
+    fn unanswered(&self) -> usize {
+        0
+    }
+    /// No request can usually be unanswered for longer than this.
     fn longest_deadline(&self) -> Duration;
 }
 
@@ -61,7 +65,9 @@
     listener.close();
     handler.close_connections();
     let (started, longest) = (Instant::now(), handler.longest_deadline() + DEADLINE_MARGIN);
-    while handler.open_connections() > 0 && started.elapsed() < longest {
+    // A client may wait for longer than its class's deadline: its answer is owed all the same.
+    let is_needed = || started.elapsed() < longest || handler.unanswered() > 0;
+    while handler.open_connections() > 0 && is_needed() {
         std::thread::sleep(CHECK_INTERVAL);
     }
     tracing::info!("stopped with {} client connections open", handler.open_connections());
--- a/crates/snowfield/tests/endings.rs
+++ b/crates/snowfield/tests/endings.rs
@@ -411,3 +411,47 @@
     drop((half, clock, idle));
     assert_eq!(site.program.wait(), Some(0));
 }
+
+/// Guards requests whose clients wait longer than their class's deadline, as they may: at a shutdown the program ended after the
+/// longest deadline of the settings, with such a request unanswered.
+#[test]
+fn at_shutdown_a_request_with_much_time_left_is_answered() {
+    let (at, seen) = backend(read_resp_command, |_| Behaviour::NoReply);
+    let shape = Shape { destinations: &[at], attempts: 1, ..Shape::default() };
+    let mut site = site_of("much-time", &shape, |text| {
+        text.replace(r#""deadline-us":2500000"#, r#""deadline-us":600000"#)
+    });
+    let mut client = Client::connect(site.listen);
+    client.send(&query(1, 2_400, 1));
+    next_request(&seen);
+    site.program.terminate();
+    assert!(client.reply().starts_with('-'), "a final answer, whatever it is");
+    drop(client);
+    assert_eq!(site.program.wait(), Some(0));
+}
+
+/// Guards new connections in the moment in which a listener closes: one that waited there with its request was accepted, and ended
+/// without a look at what it had sent.
+#[test]
+fn at_shutdown_a_request_that_waited_at_the_listener_is_answered() {
+    let (at, _seen) = echo();
+    let mut site = site("waited-at-listener", &Shape { destinations: &[at], ..Shape::default() });
+    let mut usual = Client::connect(site.listen);
+    usual.send(&query_of_another_tenant(1));
+    assert_eq!(usual.reply(), id(1));
+    site.program.terminate();
+    // The listener closes 2.45 s after the signal: until then the program is held up, and what comes waits there.
+    std::thread::sleep(Duration::from_millis(2_300));
+    site.program.suspend();
+    let mut waiting: Vec<Client> = (0..6).map(|_| Client::connect(site.listen)).collect();
+    for (client, number) in waiting.iter_mut().zip(100..) {
+        client.send(&query_of_another_tenant(number));
+    }
+    std::thread::sleep(Duration::from_millis(300));
+    site.program.signal("-CONT");
+    for (client, number) in waiting.iter_mut().zip(100..) {
+        assert_eq!(client.reply(), id(number));
+    }
+    drop((usual, waiting));
+    assert_eq!(site.program.wait(), Some(0));
+}
--- a/crates/snowfield/tests/hot_restart.rs
+++ b/crates/snowfield/tests/hot_restart.rs
@@ -4,6 +4,7 @@
 
 use common::admin::*;
 use common::*;
+use std::time::Duration;
 
 /// Guards clients during an upgrade under load: no request may be reset, cut off or left unread.
 #[test]
@@ -99,6 +100,23 @@
     assert_eq!(idle.reply(), id(5));
 }
 
+/// Guards clients that stop in the middle of a request: over an upgrade the next program gave it its whole time once more, 3.7 s in
+/// all, where 3 s are allowed (found by the soak test).
+#[test]
+fn a_partial_request_has_its_error_in_time_over_an_upgrade() {
+    let (at, _seen) = echo();
+    let (site, _) = site_with_admin("upgrade-half", &Shape { destinations: &[at], ..Shape::default() });
+    let mut client = Client::connect(site.listen);
+    client.send(&query_of_another_tenant(1));
+    assert_eq!(client.reply(), id(1));
+    let stopped = std::time::Instant::now();
+    client.send(&query_of_another_tenant(2)[..40]);
+    std::thread::sleep(Duration::from_millis(1_200));
+    let (_next, _) = start_successor(&site);
+    assert!(client.reply().starts_with("-ERR"));
+    assert!(stopped.elapsed() < Duration::from_secs(3), "{:?}", stopped.elapsed());
+}
+
 /// Guards the ban over an upgrade: a call to either program binds both, and holds outlive the program that was called.
 #[test]
 fn an_ejection_binds_both_processes_and_later_ones() {
