--- a/crates/operator/src/metrics.rs
+++ b/crates/operator/src/metrics.rs
@@ -52,6 +52,8 @@
     pub reloads: u64,
     /// Configuration files that were rejected at SIGHUP.
     pub reload_errors: u64,
+    /// What operators have ejected or restored is not on disk yet: a process that starts after this one would not know it.
+    pub ejections_pending: bool,
     /// Violations of invariants, by guard.
     pub violations: Vec<ViolationCount>,
 }
@@ -71,6 +73,7 @@
             ("members_unavailable", self.backends_unavailable as u64),
             ("config_reloads_total", self.reloads),
             ("config_reload_errors_total", self.reload_errors),
+            ("exclusions_unsaved", u64::from(self.ejections_pending)),
         ] {
             write_series(&mut text, name, None, value);
         }
--- a/crates/operator/src/metrics/tests.rs
+++ b/crates/operator/src/metrics/tests.rs
@@ -30,6 +30,7 @@
         "balancer_members_unavailable 0",
         "balancer_config_reloads_total 0",
         "balancer_config_reload_errors_total 0",
+        "balancer_exclusions_unsaved 0",
         "balancer_invariant_violations_total{guard=\"sending\"} 2",
     ] {
         assert_eq!(text.lines().filter(|l| *l == line).count(), 1, "{line}");
--- a/crates/snowfield/src/admin_service.rs
+++ b/crates/snowfield/src/admin_service.rs
@@ -3,6 +3,7 @@
 
 use crate::admin_listener::{AdminError, AdminHandler};
 use crate::ejections_file;
+use crate::ejections_store::EjectionsStore;
 use crate::endpoint_ids::EndpointIds;
 use destination::{BackendPools, RespProtocol};
 use front_resp::RespExchange;
@@ -53,7 +54,7 @@
     endpoint_ids: Arc<Mutex<EndpointIds>>,
     names: Mutex<Names>,
     /// Where ejections are stored for the next process.
-    directory: Option<PathBuf>,
+    store: Option<EjectionsStore>,
     /// The other process of a hot restart, predecessor or successor.
     peer: Mutex<Option<Arc<Peer>>>,
     pending_calls: Mutex<PendingCalls>,
@@ -70,12 +71,13 @@
         endpoint_ids: Arc<Mutex<EndpointIds>>,
         directory: Option<PathBuf>,
     ) -> Self {
+        let store = directory.map(|directory| EjectionsStore::new(directory, endpoint_ids.clone()));
         Self {
             exchange,
             pools,
             endpoint_ids,
             names: Mutex::default(),
-            directory,
+            store,
             peer: Mutex::default(),
             pending_calls: Mutex::default(),
             phase: Mutex::default(),
@@ -96,8 +98,8 @@
 
     /// Applies the ejections that an earlier process has stored.
     pub fn restore_ejections(&self) {
-        let Some(directory) = &self.directory else { return };
-        match ejections_file::read(directory) {
+        let Some(store) = &self.store else { return };
+        match ejections_file::read(store.directory()) {
             Ok(ids) => {
                 for id in ids {
                     self.apply_ejection(&id, true, true);
@@ -162,10 +164,8 @@
         // restoration the pools are open.
         self.pools.set_operator_ejection(backend, ejected);
         self.exchange.set_operator_ejection(backend, ejected);
-        if let Some(directory) = &self.directory
-            && let Err(error) = ejections_file::write(directory, endpoint_ids.ejected())
-        {
-            tracing::warn!("operators: the file of ejected backends could not be written: {error}");
+        if let Some(store) = &self.store {
+            store.store(&endpoint_ids);
         }
         tracing::info!("operators: {id} {}", if ejected { "is ejected" } else { "is used again" });
         true
@@ -225,6 +225,7 @@
             backends_unavailable: backends.unavailable,
             reloads: self.reloads.load(Ordering::Relaxed),
             reload_errors: self.reload_errors.load(Ordering::Relaxed),
+            ejections_pending: self.store.as_ref().is_some_and(EjectionsStore::is_pending),
             violations: Guard::ALL.into_iter().map(violation_count).collect(),
         }
     }
--- a/crates/snowfield/tests/machine_faults.rs
+++ b/crates/snowfield/tests/machine_faults.rs
@@ -2,8 +2,9 @@
 
 mod common;
 
-use common::TestDirectory;
-use fault_shim_control::Setting;
+use common::admin::{call, metric};
+use common::*;
+use fault_shim_control::{CONTROL_VARIABLE, Control, RATE_SCALE, Setting};
 use platform_soak::gatekeeper::{Gatekeeper, Program};
 use platform_soak::history::{History, Moment, RequestOutcome};
 use platform_soak::run::run;
@@ -85,3 +86,40 @@
         gatekeeper.stop(Duration::from_secs(5));
     }
 }
+
+/// Guards what operators were told is done: the file could not be written once, was not tried again, and a gatekeeper that was killed
+/// and started anew used the backend again.
+#[test]
+fn an_ejection_is_stored_once_the_disk_takes_writes_again() {
+    let ((one, _), (two, _)) = (echo(), echo());
+    let folder = TestDirectory::new("unsaved-tmp");
+    let control = Control::create(&folder.path().join("faults")).expect("the control block");
+    let shim = program().shim;
+    let text = |path: &std::path::Path| path.to_str().expect("a path in UTF-8").to_owned();
+    let (tmp, shim, faults) = (text(folder.path()), text(&shim), text(control.path()));
+    let variables = [
+        ("BALANCER_OPERATOR", "127.0.0.1:0"),
+        ("TMPDIR", tmp.as_str()),
+        ("LD_PRELOAD", shim.as_str()),
+        (CONTROL_VARIABLE, faults.as_str()),
+    ];
+    let shape = Shape { destinations: &[one, two], ..Shape::default() };
+    let site = site_with("unsaved", &shape, &variables);
+    let admin = site.admin.expect("operators are answered");
+    let unsaved = || metric(&call(admin, "telemetry"), "balancer_exclusions_unsaved");
+    control.set(Setting::FileOpenFailure, RATE_SCALE).expect("the control block");
+    assert_eq!(call(admin, "exclude s-0"), "OK\n");
+    assert_eq!(unsaved(), 1, "the figures show that it is not on disk");
+    control.clear_faults().expect("the control block");
+    let began = std::time::Instant::now();
+    while unsaved() == 1 {
+        assert!(began.elapsed() < TIMEOUT, "it is written again");
+    }
+    drop(site.program);
+    let path = site.folder.path().join("config.json");
+    let next =
+        common::Program::start(&[], &[&[("BALANCER_CONFIG", text(&path).as_str())], &variables[..]].concat());
+    let admin = next.logged("operators are answered on ").parse().expect("an address");
+    while call(admin, "readyz") != "OK\n" {}
+    assert_eq!(metric(&call(admin, "telemetry"), "balancer_members_unavailable"), 1, "still ejected");
+}
