--- a/crates/policy/src/attempts.rs
+++ b/crates/policy/src/attempts.rs
@@ -173,8 +173,8 @@
     /// flight.
     fn retry(&mut self, id: RequestId, outcome: Outcome, out: &mut Actions) {
         let cost = match outcome {
-            // Each retry without a connection puts one more backend into backoff here, which bounds them; what this
-            // gatekeeper could not begin cost nobody anything, and its attempts are counted.
+            // Each retry without a connection puts one more backend into backoff here, which bounds them.
+            // What this gatekeeper could not begin cost nobody anything, and its attempts are counted.
             Outcome::ConnectFailed | Outcome::NotStarted => 0.0,
             // What never ran is cheap to retry, but when all reject work retries must not multiply it.
             _ if outcome.never_ran() => BUDGET_PER_REQUEST,
--- a/crates/policy/src/counter_sync.rs
+++ b/crates/policy/src/counter_sync.rs
@@ -106,7 +106,8 @@
         let age = match total.name {
             name if name == current_name => age,
             name if name == previous_name => age + EPOCH,
-            // So has the rate or the clock: nobody looks at that count, and what it was told still has to be reported.
+            // So has the rate or the clock: nobody looks at that count, and what it was told has still to be
+            // reported.
             _ => {
                 bucket.unreported += added - bucket.written_off;
                 bucket.written_off = 0.0;
