--- a/crates/fault_shim_control/src/lib.rs
+++ b/crates/fault_shim_control/src/lib.rs
@@ -49,9 +49,6 @@
     FirstSocketFailures,
 }
 
-/// How many settings there are.
-pub const SETTINGS: usize = Setting::FirstSocketFailures as usize + 1;
-
 /// The control block of one process, or of several that share it.
 #[derive(Debug)]
 pub struct Control {
--- a/crates/front_resp/src/reader.rs
+++ b/crates/front_resp/src/reader.rs
@@ -7,6 +7,7 @@
     ERROR_PENALTY, MAX_BURST, MAX_KEPT_BUFFER, MAX_QUEUED, MAX_READ, READS_WHILE_ENDING, ROOM_CHECK, TURN,
     USUAL_REQUEST,
 };
+use exchange::RequestId;
 use invariants::Guard;
 use link::{Incoming, locked, sleep};
 use resp::Malformed;
@@ -35,18 +36,22 @@
 
 /// The guard on closing: whoever is still there has the answers to all that was taken.
 fn check_closing(client: &ClientConnection, end: End, unanswered: &VecDeque<Slot>) {
-    let waits_for_answer = |slot: &Slot| matches!(slot, Slot::Waiting(_));
-    let waiting = unanswered.iter().filter(|slot| waits_for_answer(slot)).count();
+    let waiting = || unanswered.iter().filter(|slot| matches!(slot, Slot::Waiting(_)));
     // Who leaves, or reads so slowly that this process has closed the connection, gets nothing more.
     let is_gone =
         matches!(end, End::ClientGone) || client.socket.is_peer_closed() || client.socket.is_closed();
     invariants::check(
         Guard::Closing,
-        is_gone || waiting == 0,
-        format_args!("{waiting} requests have no answer where a connection ends: {end:?}"),
+        is_gone || waiting().next().is_none(),
+        format_args!("requests {:?} have no answer where a connection ends: {end:?}", ids(waiting())),
     );
 }
 
+/// The ids of the requests that wait in these slots.
+fn ids<'a>(slots: impl Iterator<Item = &'a Slot>) -> Vec<RequestId> {
+    slots.filter_map(|slot| if let Slot::Waiting(id) = slot { *id } else { None }).collect()
+}
+
 /// What was taken from a buffer.
 struct Taken {
     bytes: usize,
