destination: one question whether a backend takes work, and one look at the clock before a write

after_connect and the guard on sending asked the same of a pool and the ejections; the clock was read before the write and again in the guard. Behaviour as before.

--- a/crates/destination/src/attempt.rs
+++ b/crates/destination/src/attempt.rs
@@ -38,15 +38,14 @@
         loop {
             match self.check_out(&attempt) {
                 Some(Checkout::Idle(connection)) => {
-                    let elapsed = self.elapsed(&attempt);
-                    if is_late(&attempt, elapsed) {
+                    if is_late(&attempt, self.elapsed(&attempt)) {
                         if self.remove_carrier(attempt.id) {
                             self.check_in(&connection);
                             self.attempt_failed(attempt.id, Outcome::NotStarted);
                         }
                         return;
                     }
-                    if self.write(&connection, &attempt, elapsed).is_ok() {
+                    if self.write(&connection, &attempt).is_ok() {
                         return;
                     }
                     // It broke before anything was written, so the attempt never ran and another may carry it.
@@ -112,15 +111,14 @@
 
     /// The guard on sending, right before the write: whether the attempt is wanted, in time, and at a backend that takes work at this
     /// address. What has changed since the connection was chosen is refused here; a violation is reported where that was long ago.
-    fn may_send(&self, attempt: &Attempt<P::Payload>, address: SocketAddr) -> bool {
-        let elapsed = self.elapsed(attempt);
+    fn may_send(&self, attempt: &Attempt<P::Payload>, address: SocketAddr, elapsed: Micros) -> bool {
         let (is_wanted, takes_work, is_recent) = {
             let state = locked(&self.state);
             let pool = state.pools.get(&attempt.backend);
-            let accepts = pool.is_some_and(|pool| pool.accepts(address));
             let is_recent = pool.is_some_and(|pool| pool.changed.elapsed() < RECENT_CHANGE);
             let is_ejected = state.operator_ejections.contains(&attempt.backend);
-            (state.carriers.contains_key(&attempt.id), accepts && !is_ejected, is_recent || is_ejected)
+            let takes_work = state.takes_work(attempt.backend, address);
+            (state.carriers.contains_key(&attempt.id), takes_work, is_recent || is_ejected)
         };
         let AttemptId { request, attempt: number } = attempt.id;
         invariants::check(
@@ -157,7 +155,7 @@
         };
         match next {
             AfterConnect::Begin => {
-                if self.write(&connection, &attempt, elapsed).is_err() {
+                if self.write(&connection, &attempt).is_err() {
                     connection.socket.close();
                     if self.remove_carrier(attempt.id) {
                         self.attempt_failed(attempt.id, Outcome::ConnectFailed);
@@ -190,9 +188,7 @@
             Err(_) => return AfterConnect::Fail(Outcome::ConnectFailed),
         };
         // A backend that drains, went or moved while the connection was established gets nothing new.
-        let takes_work =
-            state.pools.get(&attempt.backend).is_some_and(|pool| pool.accepts(connection.address));
-        if !takes_work || state.operator_ejections.contains(&attempt.backend) || is_late(attempt, elapsed) {
+        if !state.takes_work(attempt.backend, connection.address) || is_late(attempt, elapsed) {
             return AfterConnect::Fail(Outcome::NotStarted);
         }
         // The policy relies on it that what has not begun by then never will.
@@ -203,15 +199,14 @@
         AfterConnect::Begin
     }
 
-    /// Writes the request of an attempt, so many microseconds after it was decided. Where nothing could be written, the connection
-    /// carries nothing.
+    /// Writes the request of an attempt. Where nothing could be written, the connection carries nothing.
     fn write(
         &self,
         connection: &PooledConnection<P::Payload>,
         attempt: &Attempt<P::Payload>,
-        elapsed: Micros,
     ) -> io::Result<()> {
-        if !self.may_send(attempt, connection.address) {
+        let elapsed = self.elapsed(attempt);
+        if !self.may_send(attempt, connection.address, elapsed) {
             return Err(io::ErrorKind::NotConnected.into());
         }
         let mut time_left = attempt.time_left.saturating_sub(elapsed);
--- a/crates/destination/src/pools.rs
+++ b/crates/destination/src/pools.rs
@@ -112,7 +112,7 @@
     }
 
     /// Whether the backend takes work at this address.
-    pub(crate) fn accepts(&self, address: SocketAddr) -> bool {
+    fn accepts(&self, address: SocketAddr) -> bool {
         self.endpoint.state == BackendState::Ready && self.endpoint.address == address
     }
 
@@ -129,6 +129,14 @@
     }
 }
 
+impl<Q> PoolsState<Q> {
+    /// Whether a backend may be sent something new at this address.
+    pub(crate) fn takes_work(&self, backend: BackendId, address: SocketAddr) -> bool {
+        let accepts = self.pools.get(&backend).is_some_and(|pool| pool.accepts(address));
+        accepts && !self.operator_ejections.contains(&backend)
+    }
+}
+
 impl<P: Protocol> BackendPools<P> {
     /// Pools without any backend yet.
     pub fn new(protocol: P, limits: Limits) -> Arc<Self> {
