--- a/review/build.sh
+++ b/review/build.sh
@@ -8,5 +8,5 @@
 PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=review/lib python3 -c "
 import sys
 assert sys.version_info >= (3, 11), 'the cases need Python 3.11'
-import common, site_resp
+import common, consul, site_resp
 "
