Review: the cases end what they started when they are interrupted

Cause: a case that was interrupted left its programs running, and an error of its own files counted as a broken rule. Measured: an interrupted case exits with 2 and leaves no process; each case fails and holds as before.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -43,6 +43,9 @@
         class Server(ThreadingHTTPServer):
             daemon_threads = True
 
+            def handle_error(self, request, address):
+                pass  # the caller has left
+
         self.server = Server(("127.0.0.1", 0), Handler)
         self.port = self.server.server_address[1]
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
--- a/review/lib/common.py
+++ b/review/lib/common.py
@@ -72,12 +72,19 @@
         self.watchdog = threading.Timer(seconds, self.give_up)
         self.watchdog.daemon = True
         self.watchdog.start()
+        for ending in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            signal.signal(ending, self.interrupted)
 
     def give_up(self):
         self.record("the case took too long")
         self.close()
         os._exit(NOT_RUN)
 
+    def interrupted(self, number, frame):
+        self.record("the case was interrupted", signal=number)
+        self.close()
+        os._exit(NOT_RUN)
+
     def file(self, name, text):
         path = os.path.join(self.directory, name)
         temporary = path + ".new"
@@ -118,8 +125,11 @@
     def end(self, verdict, text):
         self.record("verdict", code=verdict, text=text)
         self.close()
-        print(text)
-        sys.stdout.flush()
+        try:
+            print(text)
+            sys.stdout.flush()
+        except OSError:
+            pass
         os._exit(verdict)
 
 
