Review: one registration in nanoseconds stops the whole appliance

Cause: a start time that an instance states in Consul is multiplied without a bound, and the panic ends the watch before the first list.

--- a/review/lib/consul.py
+++ b/review/lib/consul.py
@@ -19,6 +19,7 @@
         self.sessions = set()
         self.kv = {}  # key -> [value bytes, modify index, session or None]
         self.instances = instances  # [(id, "127.0.0.1", port)]
+        self.meta = {}  # metadata of services, by id
         self.health_index = 5
         consul = self
 
@@ -97,7 +98,7 @@
         entries = [
             {"Node": {"Node": "node-1", "Address": "127.0.0.1"},
              "Service": {"ID": identity, "Service": "loan-server", "Address": address, "Port": port, "Tags": [],
-                         "Meta": {}, "Weights": {"Passing": 1, "Warning": 1}, "CreateIndex": 4, "ModifyIndex": 4},
+                         "Meta": self.meta.get(identity, {}), "Weights": {"Passing": 1, "Warning": 1}, "CreateIndex": 4, "ModifyIndex": 4},
              "Checks": [{"CheckID": "service:" + identity, "Status": "passing", "ServiceID": identity}]}
             for identity, address, port in self.instances]
         call.reply(200, entries, self.health_index)
