--- a/review/build.sh
+++ b/review/build.sh
@@ -1,12 +1,6 @@
 #!/bin/sh
-# Builds what the cases start beside the program of the deploy file. The stand-ins are Python files without a package,
-# so there is nothing to compile: this checks that they load.
-set -e
-cd "$(dirname "$0")/.."
-command -v python3 >/dev/null
-test -x target/release/snowfield
-PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=review/lib python3 -c "
-import sys
-assert sys.version_info >= (3, 11), 'the cases need Python 3.11'
-import common, consul, site_resp
-"
+# The stand-ins are threads of the cases, in Python with its standard library only. Nothing is built; this checks that they can run.
+cd "$(dirname "$0")" || exit 2
+for file in lib/harness.py [0-9]*/case.py; do
+    python3 -c "import ast, sys; ast.parse(open(sys.argv[1]).read(), sys.argv[1])" "$file" || exit 1
+done
