--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,102 +1,134 @@
-"""After an outage of Consul of 3 s, in which a loan server is registered, a duty never runs again."""
+"""At SIGTERM the appliance takes requests whose last bytes were still arriving, and ends before it has answered them."""
 
 import os
 import re
+import signal
 import socket
 import sys
+import threading
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib"))
 import harness
-from harness import CouldNotRun, Consul, Gatekeeper, HttpReader, free_port, listen_tcp, main
+from harness import CouldNotRun, Gatekeeper, HttpReader, free_port, listen_tcp, main, start_consul
 
-PERIOD = 10.0            # period_ms of the duty
-SILENT_SECONDS = 3.0     # Consul answers nothing for so long; the pages name 30 s
-SILENT_BEFORE = 0.15     # Consul falls silent this long before a run is due
-REGISTERED_AFTER = 1.0   # a loan server is registered this long after the run was due
-WATCHED_PERIODS = 3      # for so many periods after the trouble
+WRITE_SECONDS = 1.9      # from a request's first byte to its last; the pages name 2 s
+SIGTERM_AFTER = 0.2      # SIGTERM comes this long after the requests' first bytes
+# Operation: the time that the loan server takes, and the deadline of the operation's class in the file.
+WORK = {"notices": (3.3, 4.0), "balance": (0.02, 2.5)}
 
 
-def write_file(folder, consul, target):
-    """The shipped `deploy/cluster.toml` with free addresses, without the status listener, and with a shorter period."""
+def start_loan_server(record):
+    runs, lock = [], threading.Lock()
+
+    def serve(connection):
+        reader = HttpReader(connection)
+        while (message := reader.message()) is not None:
+            line, fields, body = message
+            name = fields.get("x-request", "-")
+            with lock:
+                runs.append(name)
+            record("loan server", f"begins {name}: {line}, body of {len(body)} bytes")
+            kind = line.split(" ")[1].rsplit("/", 1)[1]
+            time.sleep(WORK[kind][0])
+            answer = f'{{"done":"{name}"}}'
+            status = "202 Accepted" if kind == "notices" else "200 OK"
+            record("loan server", f"answers {name}")
+            connection.sendall(f"HTTP/1.1 {status}\r\nContent-Length: {len(answer)}\r\n\r\n{answer}".encode())
+
+    return listen_tcp(serve).getsockname()[1], runs
+
+
+def write_file(folder, listen, consul):
+    """The shipped `deploy/openapi.toml` with free addresses and without the status listener."""
     deploy = os.path.join(harness.ROOT, "deploy")
-    with open(os.path.join(deploy, "cluster.toml")) as file:
+    with open(os.path.join(deploy, "openapi.toml")) as file:
         text = file.read()
+    text = text.replace('listen = "127.0.0.1:8080"', f'listen = "127.0.0.1:{listen}"')
     text = re.sub(r"^status = .*\n", "", text, flags=re.M)
-    changes = {
-        '"127.0.0.1:8080"': f'"127.0.0.1:{free_port()}"', '"127.0.0.1:8500"': f'"127.0.0.1:{consul}"',
-        '"127.0.0.1:7946"': f'"127.0.0.1:{free_port(socket.SOCK_DGRAM)}"',
-        '"127.0.0.1:7947"': f'"127.0.0.1:{free_port(socket.SOCK_DGRAM)}"',
-        '"127.0.0.1:7948"': f'"127.0.0.1:{free_port(socket.SOCK_DGRAM)}"',
-        '"http://127.0.0.1:9000/close"': f'"http://127.0.0.1:{target}/close"', "period_ms = 60000": f"period_ms = {int(PERIOD * 1000)}",
-        '"loans.openapi.json"': f'"{os.path.join(deploy, "loans.openapi.json")}"',
-    }
-    for old, new in changes.items():
-        if old not in text:
-            raise CouldNotRun(f"deploy/cluster.toml has no {old}")
-        text = text.replace(old, new)
-    with open(os.path.join(folder, "cluster.key"), "w") as file:
-        file.write("5a" * 32 + "\n")
-    os.chmod(os.path.join(folder, "cluster.key"), 0o600)
-    path = os.path.join(folder, "cluster.toml")
+    text = text.replace('address = "127.0.0.1:8500"', f'address = "127.0.0.1:{consul}"')
+    text = text.replace('"loans.openapi.json"', f'"{os.path.join(deploy, "loans.openapi.json")}"')
+    path = os.path.join(folder, "openapi.toml")
     with open(path, "w") as file:
         file.write(text)
     return path
 
 
-def start_loan_server():
-    def serve(connection):
-        reader = HttpReader(connection)
-        while reader.message() is not None:
-            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
-    return listen_tcp(serve).getsockname()[1]
+class Client(threading.Thread):
+    """Sends one request in two parts, and waits for its answer until it gives up."""
 
+    def __init__(self, record, port, name, tenant, method, kind, pause):
+        super().__init__(daemon=True)
+        self.record, self.port, self.label, self.tenant, self.method, self.kind = record, port, name, tenant, method, kind
+        self.pause, self.result, self.written_at = pause, None, None
 
-def start_target(record, rounds):
-    def serve(connection):
-        reader = HttpReader(connection)
-        while (message := reader.message()) is not None:
-            fields = message[1]
-            if fields["snowfield-duty"] == "close-of-day":
-                rounds.append(int(fields["snowfield-round"]))
-            record("target", f"{fields['snowfield-duty']}: round {fields['snowfield-round']} by {fields['snowfield-by']}")
-            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-    return listen_tcp(serve).getsockname()[1]
-
-
-def wait_until(unix):
-    time.sleep(max(0.0, unix - time.time()))
+    def run(self):
+        body = b"x" * 400 if self.method == "POST" else b""
+        head = (f"{self.method} /v1/loans/7/{self.kind} HTTP/1.1\r\nHost: appliance\r\nX-Lender: {self.tenant}\r\n"
+                f"X-Request: {self.label}\r\n")
+        head += f"Content-Length: {len(body)}\r\n" if body else ""
+        data = head.encode() + b"\r\n" + body
+        patience = WORK[self.kind][1]
+        try:
+            with socket.create_connection(("127.0.0.1", self.port), timeout=5) as connection:
+                connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                connection.sendall(data[:len(data) // 2])
+                self.record(self.label, f"{len(data) // 2} of the {len(data)} bytes of {self.method} {self.kind} written")
+                time.sleep(self.pause)
+                connection.sendall(data[len(data) // 2:])
+                self.written_at = time.monotonic()
+                self.record(self.label, "last byte written")
+                connection.settimeout(patience)
+                answer = HttpReader(connection).message()
+                self.result = ("answered", answer[0]) if answer else ("closed", "end of the connection without an answer")
+        except socket.timeout:
+            self.result = ("silent", f"no answer in {patience} s")
+        except OSError as error:
+            self.result = ("closed", f"{error}") if self.written_at else ("refused", f"{error}")
+        self.record(self.label, f"{self.result[0]}: {self.result[1]}")
 
 
 def case(record, folder):
-    rounds = []
-    target = start_target(record, rounds)
-    consul = Consul(record, {"loan-server": [("loan-1", start_loan_server()), ("loan-2", start_loan_server())]})
-    gatekeeper = Gatekeeper("muscat-1", f"serve {write_file(folder, consul.port, target)}", folder=folder)
-    end = time.monotonic() + 3 * PERIOD + 5
-    while len(rounds) < 2:
-        if time.monotonic() > end or gatekeeper.exit_code() is not None:
-            raise CouldNotRun("the duty did not run twice before the trouble")
-        time.sleep(0.02)
-    scheduled = rounds[-1] / 1000 + PERIOD
-    wait_until(scheduled - SILENT_BEFORE)
-    if harness.TROUBLE:
-        consul.set_silent(True)
-    wait_until(scheduled + REGISTERED_AFTER)
-    consul.register("loan-server", "loan-3", start_loan_server())
-    wait_until(scheduled - SILENT_BEFORE + SILENT_SECONDS)
+    loans, runs = start_loan_server(record)
+    consul = start_consul(record, {"loan-server": [("loan-1", loans)]})
+    listen = free_port()
+    gatekeeper = Gatekeeper("appliance", f"serve {write_file(folder, listen, consul)}", folder=folder)
+    for number in range(100):
+        first = Client(record, listen, f"warm-up {number}", "al-noor", "GET", "balance", 0)
+        first.run()
+        if first.result and first.result[0] == "answered" and " 200 " in first.result[1]:
+            break
+        time.sleep(0.1)
+    else:
+        raise CouldNotRun("the appliance does not serve")
+    time.sleep(3)
+    clients = [
+        Client(record, listen, "notice", "sohar-finance", "POST", "notices", WRITE_SECONDS),
+        Client(record, listen, "balance", "al-noor", "GET", "balance", WRITE_SECONDS),
+    ]
+    for client in clients:
+        client.start()
+    time.sleep(SIGTERM_AFTER)
     if harness.TROUBLE:
-        consul.set_silent(False)
-    answers_again = time.time()
-    wait_until(scheduled + (1 + WATCHED_PERIODS) * PERIOD)
-    if gatekeeper.exit_code() is not None:
-        raise CouldNotRun("the gatekeeper has ended")
-    # The runs that came due after Consul answered again, and whose periods are over. The run of the outage itself is excused.
-    due = [int(round((scheduled + number * PERIOD) * 1000)) for number in range(1, WATCHED_PERIODS + 1)]
-    missed = [moment for moment in due if moment not in rounds]
-    record("check", f"runs of close-of-day: {rounds}")
-    record("check", f"due since Consul answers again ({int(answers_again * 1000)}): {due}; missed: {missed}")
-    return len(missed) <= 1
+        gatekeeper.signal(signal.SIGTERM)
+        record("operator", "SIGTERM to the appliance; no SIGKILL follows")
+    for client in clients:
+        client.join(15)
+    time.sleep(0.5)
+    record("appliance", f"exit code {gatekeeper.exit_code()}")
+    held = True
+    for client in clients:
+        if client.result is None:
+            raise CouldNotRun("a client did not end")
+        count = runs.count(client.label)
+        # Taken: its last byte was written to an accepted connection, and the appliance read it, since it passed it on.
+        taken = client.written_at is not None and count > 0
+        if taken and client.result[0] != "answered":
+            held = False
+            record("check", f"{client.label} was taken and run {count} time(s), and has no final answer: {client.result[1]}")
+        else:
+            record("check", f"{client.label}: run {count} time(s), {client.result[0]}: {client.result[1]}")
+    return held
 
 
 main(case, __file__)
--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -332,12 +332,10 @@
     return settings
 
 
-def platform_file(folder, name, listen, agent, known, settings=None, operator=None):
+def platform_file(folder, name, listen, agent, known, settings=None, limits=None):
     config = {"name": name, "listen": f"127.0.0.1:{listen}", "discovery": agent.address, "seed": "8c1f30d27a5be964",
-              "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": known,
+              "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, **(limits or {})}, "known": known,
               "settings": settings or platform_settings()}
-    if operator:
-        config["operator"] = f"127.0.0.1:{operator}"
     path = os.path.join(folder, f"{name}.json")
     with open(path + ".new", "w") as file:
         json.dump(config, file)
