Tests: the appliance's site and its shutdown tests in files of their own

The stand-ins and the configuration of the appliance stood in appliance.rs, where only its own tests could use them. Names that the platform's site has too are told apart: Appliance, ApplianceOptions, start_appliance, start_http_echo_backend.

--- a/crates/snowfield/tests/appliance.rs
+++ b/crates/snowfield/tests/appliance.rs
@@ -3,174 +3,21 @@
 
 mod common;
 
+use common::appliance::*;
 use common::*;
-use stand_in_consul::{CheckStatus, Fault, Listener, Service};
-use std::net::SocketAddr;
-use std::sync::mpsc::Receiver;
-
-/// A stand-in for Consul with the instances of one service.
-struct ConsulStandIn {
-    address: SocketAddr,
-    consul: stand_in_consul::Consul,
-    listener: Listener,
-}
-
-impl ConsulStandIn {
-    /// Starts a stand-in with these instances. The receiver gets the method and target of each query.
-    fn start(instances: &[SocketAddr]) -> (Self, Receiver<String>) {
-        let consul = stand_in_consul::Consul::start();
-        let queries = consul.log_requests();
-        let instance = |(i, address): (usize, &SocketAddr)| service(&format!("loans-{i}"), *address);
-        consul.set_service(10, "loan-server", instances.iter().enumerate().map(instance).collect());
-        let listener = consul.open();
-        (Self { address: listener.address, consul, listener }, queries)
-    }
-
-    /// Changes the instances, and sets the index of the list.
-    fn update_instances(&self, index: u64, change: impl FnOnce(&mut Vec<Service>)) {
-        self.consul.update(|state| {
-            change(state.services.entry("loan-server".into()).or_default());
-            state.services_index = index;
-        });
-    }
-}
-
-fn service(id: &str, address: SocketAddr) -> Service {
-    Service::new(id, address)
-}
-
-const LOANS: &str = r##"{
-  "openapi": "3.0.3", "info": {"title": "Loans", "version": "1"},
-  "servers": [{"url": "https://api.example.com/v1/"}],
-  "x-snowfield-default": {"class": "lookup"},
-  "paths": {
-    "/loans/{loan}": {
-      "get": {"operationId": "balance", "x-snowfield-units": 1, "responses": {}},
-      "head": {"x-snowfield-units": 1, "responses": {}},
-      "post": {"operationId": "notice", "x-snowfield-units": 2, "x-snowfield-class": "notice", "responses": {}}
-    },
-    "/loans/all": {"get": {"operationId": "all", "x-snowfield-units": 3, "responses": {}}},
-    "/loans/{loan}/schedule": {"get": {"operationId": "schedule", "x-snowfield-units": 2.5, "responses": {}}}
-  }
-}"##;
-
-/// The parts of the settings that differ between tests.
-struct SiteOptions<'a> {
-    backends: &'a [SocketAddr],
-    /// The lines of the `[quota]` table.
-    quota: String,
-    /// The quota of the plan, as lines of its table.
-    plan: &'a str,
-    deadline_ms: u32,
-    patience_ms: u32,
-    sockets: u32,
-    /// Further lines of the `[consul]` table.
-    consul: &'a str,
-}
-
-impl Default for SiteOptions<'_> {
-    fn default() -> Self {
-        Self {
-            backends: &[],
-            quota: String::new(),
-            plan: "units_per_second = 100.0\nburst = 400.0",
-            deadline_ms: 2500,
-            patience_ms: 10_000,
-            sockets: 1024,
-            consul: "",
-        }
-    }
-}
-
-struct Site {
-    program: Program,
-    listen: SocketAddr,
-    consul: ConsulStandIn,
-    queries: Receiver<String>,
-    settings_file: String,
-    _directory: TestDirectory,
-}
-
-fn config_text(consul: SocketAddr, status: SocketAddr, options: &SiteOptions<'_>) -> String {
-    format!(
-        r#"
-listen = "127.0.0.1:0"
-status = "{status}"
-descriptions = ["loans.json"]
-lender_header = "X-Lender"
-[consul]
-address = "{consul}"
-service = "loan-server"
-{consul_lines}
-[quota]
-{quota}
-[limits]
-body_bytes = 1000
-patience_ms = {patience}
-sockets = {sockets}
-[[class]]
-name = "lookup"
-repeat = "safe"
-wanted_ms = 300
-deadline_ms = {deadline}
-[[class]]
-name = "notice"
-repeat = "unsafe"
-wanted_ms = 300
-deadline_ms = {deadline}
-[[plan]]
-name = "basic"
-{plan}
-[[lender]]
-name = "al-noor"
-plan = "basic"
-[[lender]]
-name = "sohar"
-plan = "basic"
-"#,
-        quota = options.quota,
-        consul_lines = options.consul,
-        deadline = options.deadline_ms,
-        patience = options.patience_ms,
-        sockets = options.sockets,
-        plan = options.plan
-    )
-}
-
-fn start_site(test: &str, options: &SiteOptions<'_>) -> Site {
-    let (consul, queries) = ConsulStandIn::start(options.backends);
-    let directory = TestDirectory::new(test);
-    directory.write("loans.json", LOANS);
-    let settings_file =
-        directory.write("openapi.toml", &config_text(consul.address, unused_address(), options));
-    let program = Program::start(&["serve", &settings_file], &[]);
-    let listen = program.wait_for_log("serving OpenAPI on ").parse().expect("a valid socket address");
-    let site = Site { program, listen, consul, queries, settings_file, _directory: directory };
-    site.program.wait_for_log("endpoint list changed");
-    site
-}
-
-fn get_request(path: &str) -> String {
-    format!("GET {path} HTTP/1.1\r\nHost: api.example.com\r\nX-Lender: al-noor\r\n\r\n")
-}
-
-fn ok_response(text: &str) -> Vec<u8> {
-    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len()).into_bytes()
-}
-
-fn start_echo_backend() -> (SocketAddr, Receiver<BackendEvent<Message>>) {
-    start_backend(read_message, |request| Behaviour::Reply(ok_response(&request.first_line)))
-}
+use stand_in_consul::{CheckStatus, Fault};
 
 #[test]
 fn the_units_of_each_route_are_counted_as_the_description_states() {
-    let (address, events) = start_echo_backend();
+    let (address, events) = start_http_echo_backend();
     let (counter, added_units) = start_counter(0.5);
     let quota = format!("gatekeepers = 2\ncounter = \"{counter}\"");
     // The same count also subtracts the units that refill the bucket. With this plan they are negligible.
     let plan = "units_per_second = 0.0001\nburst = 1000.0";
-    let mut site =
-        start_site("units", &SiteOptions { backends: &[address], quota, plan, ..SiteOptions::default() });
+    let mut site = start_appliance(
+        "units",
+        &ApplianceOptions { backends: &[address], quota, plan, ..ApplianceOptions::default() },
+    );
     let mut client = Client::connect(site.listen);
     let mut expected_units = 0.0;
     for (path, units, times) in [
@@ -217,9 +64,12 @@
 
 #[test]
 fn a_tenant_that_exceeds_its_quota_gets_retry_after_and_others_are_served() {
-    let (address, events) = start_echo_backend();
+    let (address, events) = start_http_echo_backend();
     let plan = "units_per_second = 0.5\nburst = 4.0";
-    let site = start_site("quota", &SiteOptions { backends: &[address], plan, ..SiteOptions::default() });
+    let site = start_appliance(
+        "quota",
+        &ApplianceOptions { backends: &[address], plan, ..ApplianceOptions::default() },
+    );
     let mut client = Client::connect(site.listen);
     // A new tenant may use the units of the largest request: 3.
     assert_eq!(client.request(&get_request("/v1/loans/all")).status(), 200);
@@ -244,7 +94,10 @@
                   Connection: X-Hop\r\nX-Hop: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;ext=1\r\nde\r\n0\r\n\r\n";
     let (address, events) =
         start_backend(read_message, move |_| Behaviour::Reply(response_bytes.as_bytes().to_vec()));
-    let site = start_site("unchanged", &SiteOptions { backends: &[address], ..SiteOptions::default() });
+    let site = start_appliance(
+        "unchanged",
+        &ApplianceOptions { backends: &[address], ..ApplianceOptions::default() },
+    );
     let mut client = Client::connect(site.listen);
     let response = client.request(
         "POST /v1/loans/7?q=%20x&y HTTP/1.1\r\nHost: api.example.com\r\nX-Lender: al-noor\r\nX-Mixed-Case: Kept  As Is\r\n\
@@ -269,8 +122,11 @@
 
 #[test]
 fn each_invalid_request_gets_its_status() {
-    let (address, events) = start_echo_backend();
-    let site = start_site("statuses", &SiteOptions { backends: &[address], ..SiteOptions::default() });
+    let (address, events) = start_http_echo_backend();
+    let site = start_appliance(
+        "statuses",
+        &ApplianceOptions { backends: &[address], ..ApplianceOptions::default() },
+    );
     let send_request = |request: &str| Client::connect(site.listen).request(request);
     let fields = "Host: a\r\nX-Lender: al-noor\r\n";
     for (request, status) in [
@@ -322,19 +178,25 @@
     let (failing_backend, _events) = start_backend(read_message, |_| {
         Behaviour::Reply(b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n".to_vec())
     });
-    let failing =
-        start_site("failing", &SiteOptions { backends: &[failing_backend], ..SiteOptions::default() });
+    let failing = start_appliance(
+        "failing",
+        &ApplianceOptions { backends: &[failing_backend], ..ApplianceOptions::default() },
+    );
     assert_eq!(Client::connect(failing.listen).request(&get_request("/v1/loans/7")).status(), 502);
 
-    let empty = start_site("empty", &SiteOptions::default());
+    let empty = start_appliance("empty", &ApplianceOptions::default());
     assert_eq!(Client::connect(empty.listen).request(&get_request("/v1/loans/7")).status(), 503);
-    let refusing =
-        start_site("refusing", &SiteOptions { backends: &[unused_address()], ..SiteOptions::default() });
+    let refusing = start_appliance(
+        "refusing",
+        &ApplianceOptions { backends: &[unused_address()], ..ApplianceOptions::default() },
+    );
     assert_eq!(Client::connect(refusing.listen).request(&get_request("/v1/loans/7")).status(), 503);
 
     let (silent, _events) = start_backend(read_message, |_| Behaviour::NoReply);
-    let late =
-        start_site("late", &SiteOptions { backends: &[silent], deadline_ms: 400, ..SiteOptions::default() });
+    let late = start_appliance(
+        "late",
+        &ApplianceOptions { backends: &[silent], deadline_ms: 400, ..ApplianceOptions::default() },
+    );
     let started_at = std::time::Instant::now();
     assert_eq!(Client::connect(late.listen).request(&get_request("/v1/loans/7")).status(), 504);
     // The policy's tests check the exact deadline. On a machine under load the response may be late.
@@ -345,7 +207,10 @@
 fn only_idempotent_classes_are_retried() {
     let (first, first_events) = start_backend(read_message, |_| Behaviour::Close);
     let (second, second_events) = start_backend(read_message, |_| Behaviour::Close);
-    let site = start_site("repeat", &SiteOptions { backends: &[first, second], ..SiteOptions::default() });
+    let site = start_appliance(
+        "repeat",
+        &ApplianceOptions { backends: &[first, second], ..ApplianceOptions::default() },
+    );
     let request_count = || all_requests(&first_events).len() + all_requests(&second_events).len();
     let notice = "POST /v1/loans/7 HTTP/1.1\r\nHost: a\r\nX-Lender: al-noor\r\nContent-Length: 0\r\n\r\n";
     assert_eq!(Client::connect(site.listen).request(notice).status(), 502);
@@ -356,8 +221,9 @@
 
 #[test]
 fn connections_are_kept_alive_and_pipelined_requests_are_answered_in_order() {
-    let (address, _events) = start_echo_backend();
-    let site = start_site("keep", &SiteOptions { backends: &[address], ..SiteOptions::default() });
+    let (address, _events) = start_http_echo_backend();
+    let site =
+        start_appliance("keep", &ApplianceOptions { backends: &[address], ..ApplianceOptions::default() });
     let mut client = Client::connect(site.listen);
     client.send(
         (get_request("/v1/loans/1")
@@ -388,7 +254,10 @@
             ok_response("hello")
         })
     });
-    let site = start_site("continue", &SiteOptions { backends: &[address], ..SiteOptions::default() });
+    let site = start_appliance(
+        "continue",
+        &ApplianceOptions { backends: &[address], ..ApplianceOptions::default() },
+    );
     let mut client = Client::connect(site.listen);
     client.send(b"POST /v1/loans/7 HTTP/1.1\r\nHost: a\r\nX-Lender: al-noor\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
     assert_eq!(read_message_head(&mut client.reader).expect("an interim response arrives").status(), 100);
@@ -403,7 +272,8 @@
 #[test]
 fn a_client_that_disconnects_cancels_its_request() {
     let (address, events) = start_backend(read_message, |_| Behaviour::NoReply);
-    let site = start_site("leaves", &SiteOptions { backends: &[address], ..SiteOptions::default() });
+    let site =
+        start_appliance("leaves", &ApplianceOptions { backends: &[address], ..ApplianceOptions::default() });
     let mut client = Client::connect(site.listen);
     client.send(get_request("/v1/loans/7").as_bytes());
     next_request(&events);
@@ -414,9 +284,11 @@
 /// Clients must not occupy sockets by sending a request byte by byte or only in part.
 #[test]
 fn an_incomplete_request_gets_408_and_idle_connections_stay_open() {
-    let (address, _events) = start_echo_backend();
-    let site =
-        start_site("slow", &SiteOptions { backends: &[address], patience_ms: 200, ..SiteOptions::default() });
+    let (address, _events) = start_http_echo_backend();
+    let site = start_appliance(
+        "slow",
+        &ApplianceOptions { backends: &[address], patience_ms: 200, ..ApplianceOptions::default() },
+    );
     let mut idle = Client::connect(site.listen);
     assert_eq!(idle.request(&get_request("/v1/loans/7")).status(), 200);
     let mut slow = Client::connect(site.listen);
@@ -428,7 +300,7 @@
 /// Regression: clients that never closed their connections filled the connection table and kept out new ones.
 #[test]
 fn idle_connections_are_closed_to_admit_new_clients() {
-    let site = start_site("room", &SiteOptions { sockets: 128, ..SiteOptions::default() });
+    let site = start_appliance("room", &ApplianceOptions { sockets: 128, ..ApplianceOptions::default() });
     let mut clients: Vec<Client> = (0..40).map(|_| Client::connect(site.listen)).collect();
     clients.iter_mut().for_each(|client| client.send(get_request("/v1/nothing").as_bytes()));
     // The test has more clients than the connection table holds: later ones are answered once
@@ -440,10 +312,13 @@
 
 #[test]
 fn critical_and_deregistered_instances_are_drained_and_new_ones_serve() {
-    let (old, old_events) = start_echo_backend();
-    let (new, new_events) = start_echo_backend();
+    let (old, old_events) = start_http_echo_backend();
+    let (new, new_events) = start_http_echo_backend();
     let consul = "sudden_hold_ms = 300";
-    let site = start_site("consul", &SiteOptions { backends: &[old], consul, ..SiteOptions::default() });
+    let site = start_appliance(
+        "consul",
+        &ApplianceOptions { backends: &[old], consul, ..ApplianceOptions::default() },
+    );
     let request_status = || Client::connect(site.listen).request(&get_request("/v1/loans/7")).status();
     assert_eq!(request_status(), 200);
     next_request(&old_events);
@@ -467,10 +342,13 @@
 
 #[test]
 fn an_outage_of_consul_keeps_the_last_list_and_a_lower_index_resets_the_watch() {
-    let (address, _events) = start_echo_backend();
-    let (new, new_events) = start_echo_backend();
+    let (address, _events) = start_http_echo_backend();
+    let (new, new_events) = start_http_echo_backend();
     let consul = "sudden_hold_ms = 300";
-    let site = start_site("outage", &SiteOptions { backends: &[address], consul, ..SiteOptions::default() });
+    let site = start_appliance(
+        "outage",
+        &ApplianceOptions { backends: &[address], consul, ..ApplianceOptions::default() },
+    );
     let request_status = || Client::connect(site.listen).request(&get_request("/v1/loans/7")).status();
     // The first query has no index, and the second one blocks on the returned index.
     let first_queries = [receive(&site.queries), receive(&site.queries)];
@@ -490,8 +368,11 @@
 
 #[test]
 fn the_watch_sends_a_query_without_an_index_after_the_index_decreased() {
-    let (address, _events) = start_echo_backend();
-    let site = start_site("backwards", &SiteOptions { backends: &[address], ..SiteOptions::default() });
+    let (address, _events) = start_http_echo_backend();
+    let site = start_appliance(
+        "backwards",
+        &ApplianceOptions { backends: &[address], ..ApplianceOptions::default() },
+    );
     (0..2).for_each(|_| drop(receive(&site.queries)));
     site.consul.update_instances(3, |_| {});
     // One query without an index, then one that waits on the new index.
@@ -503,8 +384,9 @@
 /// signal must be ignored.
 #[test]
 fn sighup_without_a_cluster_is_ignored() {
-    let (address, _events) = start_echo_backend();
-    let mut site = start_site("hangup", &SiteOptions { backends: &[address], ..SiteOptions::default() });
+    let (address, _events) = start_http_echo_backend();
+    let mut site =
+        start_appliance("hangup", &ApplianceOptions { backends: &[address], ..ApplianceOptions::default() });
     let mut client = Client::connect(site.listen);
     site.program.signal("-HUP");
     site.program.wait_for_log("reload ignored, changes need a restart");
@@ -521,7 +403,7 @@
         for (i, text) in descriptions.iter().enumerate() {
             directory.write(&format!("d{i}.json"), text);
         }
-        let text = config_text(unused_address(), unused_address(), &SiteOptions::default())
+        let text = appliance_config_text(unused_address(), unused_address(), &ApplianceOptions::default())
             .replace("\"loans.json\"", &names.join(", "));
         run(&["check", &directory.write("openapi.toml", &text)], &[])
     };
@@ -545,7 +427,7 @@
         check(&[&LOANS.replace("\"x-snowfield-units\": 3", "\"x-snowfield-units\": 500")]);
     assert!(!succeeded && output.contains("500 units"), "{output}");
     // A settings file with an unknown plan.
-    let text = config_text(unused_address(), unused_address(), &SiteOptions::default())
+    let text = appliance_config_text(unused_address(), unused_address(), &ApplianceOptions::default())
         .replace("plan = \"basic\"", "plan = \"gold\"");
     let (succeeded, output) = run(&["serve", &directory.write("openapi.toml", &text)], &[]);
     assert!(!succeeded && output.contains("gold"), "{output}");
@@ -590,7 +472,10 @@
                 }
             }
         });
-        let site = start_site("no-length", &SiteOptions { backends: &[backend], ..SiteOptions::default() });
+        let site = start_appliance(
+            "no-length",
+            &ApplianceOptions { backends: &[backend], ..ApplianceOptions::default() },
+        );
         let response = Client::connect(site.listen).request(&get_request("/v1/loans/7"));
         assert_eq!(
             (response.status(), response.text() == "half"),
@@ -602,8 +487,9 @@
 /// No attempt starts for a request whose client has disconnected before it is read, also if it is pipelined.
 #[test]
 fn a_request_of_a_disconnected_client_is_not_started() {
-    let (address, events) = start_echo_backend();
-    let site = start_site("gone", &SiteOptions { backends: &[address], ..SiteOptions::default() });
+    let (address, events) = start_http_echo_backend();
+    let site =
+        start_appliance("gone", &ApplianceOptions { backends: &[address], ..ApplianceOptions::default() });
     let mut connected = Client::connect(site.listen);
     assert_eq!(connected.request(&get_request("/v1/loans/1")).status(), 200);
     let mut disconnecting = Client::connect(site.listen);
@@ -622,34 +508,3 @@
         all_requests(&events).iter().map(|request| request.target().to_owned()).collect();
     assert_eq!(targets, ["/v1/loans/3"; 5]);
 }
-
-/// The response to the request in flight is sent. Requests after it are not read, so that their client may safely send them
-/// again.
-#[test]
-fn at_shutdown_no_request_after_the_last_response_is_accepted() {
-    let (release, released) = std::sync::mpsc::channel();
-    let released = std::sync::Mutex::new(Some(released));
-    let (address, events) = start_backend(read_message, move |request| {
-        let released =
-            released.lock().expect("the lock is not poisoned").take().expect("the backend gets one request");
-        Behaviour::ReplyAfter(released, ok_response(&request.first_line))
-    });
-    let mut site = start_site("ends", &SiteOptions { backends: &[address], ..SiteOptions::default() });
-    let mut client = Client::connect(site.listen);
-    client.send(get_request("/v1/loans/1").as_bytes());
-    next_request(&events);
-    let mut idle = Client::connect(site.listen);
-    assert_eq!(idle.request(&get_request("/v1/nothing")).status(), 404);
-    site.program.terminate();
-    assert!(idle.is_closed(), "shutdown has started");
-    client.send(&[get_request("/v1/loans/2").into_bytes(), vec![b'x'; 300_000]].concat());
-    release.send(()).expect("the stand-in waits for the release");
-    assert_eq!(client.read_response().status(), 200);
-    let mut rest = Vec::new();
-    std::io::Read::read_to_end(&mut client.reader, &mut rest)
-        .expect("the connection is closed without a reset");
-    assert!(rest.is_empty());
-    drop(client);
-    assert_eq!(site.program.wait(), Some(0));
-    assert!(all_requests(&events).is_empty(), "the request after the last response is not forwarded");
-}
--- a/crates/snowfield/tests/common/mod.rs
+++ b/crates/snowfield/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, unused_imports)]
 
 pub mod admin;
+pub mod appliance;
 mod held_backend;
 mod site;
 pub mod soak;
