Shutdown: the last log event says what clients still wait for

`stopped with open client connections count=1` could mean a request in flight, an answer that the socket had not taken, or a client that only keeps its connection open. Both fronts now count their open connections by what the client waits for (PendingConnections), and the event has the fields incomplete, unanswered and unsent. The shutdown itself is as before.

--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -17,6 +17,7 @@
 //! | `fleet_clock` | the estimate of the clock offset from the fleet's clock |
 //! | `clock` | the process's clock |
 //! | `counts` | counts of requests and answers for the operators' console and metrics |
+//! | `pending_connections` | the client connections that a front may not close yet |
 //! | `stream` | the buffer of an answer that is forwarded to the client while it arrives |
 
 mod clock;
@@ -24,6 +25,7 @@
 mod exchange;
 mod fleet_clock;
 mod in_flight;
+mod pending_connections;
 mod ports;
 mod request;
 mod request_table;
@@ -34,6 +36,7 @@
 pub use crate::clock::{Clock, MAX_SCHEDULING_DELAY};
 pub use crate::counts::{AnswerCounts, BackendStatus, OutcomeCounts, Status};
 pub use crate::exchange::Exchange;
+pub use crate::pending_connections::{PendingConnections, PendingWork};
 pub use crate::ports::{Backends, CounterCall, QuotaCounter};
 pub use crate::request::{
     Admission, Attempt, AttemptEnd, AttemptId, FailureReason, FinalAnswer, Reply, Request, StreamEnd,
--- a/crates/front_openapi/src/client_connection.rs
+++ b/crates/front_openapi/src/client_connection.rs
@@ -1,6 +1,6 @@
 //! One client's connection: its phase, and the outstanding answer.
 
-use exchange::FinalAnswer;
+use exchange::{FinalAnswer, PendingWork};
 use http::Response;
 use link::{Connection, lock_or_abort};
 use std::sync::Mutex;
@@ -75,6 +75,17 @@
         *lock_or_abort(&self.phase)
     }
 
+    /// Returns what the client still waits for; `None` between two requests, and once the socket has taken the last answer.
+    pub(crate) fn pending_work(&self) -> Option<PendingWork> {
+        match self.phase().phase {
+            Phase::Reading => Some(PendingWork::IncompleteRequest),
+            Phase::Waiting => Some(PendingWork::UnansweredRequest),
+            Phase::Idle | Phase::Finishing => {
+                (self.connection.unsent() > 0).then_some(PendingWork::UnsentAnswer)
+            }
+        }
+    }
+
     /// Returns when the connection became idle, if it has been idle for at least `min_idle`.
     pub(crate) fn idle_since(&self, min_idle: Duration) -> Option<Instant> {
         let CurrentPhase { phase, since } = self.phase();
--- a/crates/front_openapi/src/front.rs
+++ b/crates/front_openapi/src/front.rs
@@ -2,7 +2,7 @@
 
 use crate::client_connection::{ClientConnection, Phase};
 use crate::{FrontConfig, RouteCounts};
-use exchange::Exchange;
+use exchange::{Exchange, PendingConnections};
 use http::{Request, Response};
 use link::{Listener, lock_or_abort, sleep, spawn};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -72,6 +72,12 @@
         self.open_clients().len()
     }
 
+    /// Counts the open connections whose clients still wait for something. Each of them is bounded in time: by the client timeout,
+    /// or by the deadline of its request.
+    pub fn pending_connections(&self) -> PendingConnections {
+        self.open_clients().iter().filter_map(|client| client.pending_work()).collect()
+    }
+
     /// Closes connections that have exceeded the idle timeout or the client timeout. The caller runs it a few times a second.
     pub fn close_overdue(&self) {
         let client_timeout = self.config.client_timeout;
--- a/crates/front_resp/src/client.rs
+++ b/crates/front_resp/src/client.rs
@@ -3,6 +3,7 @@
 use crate::answer_queue::{CommandNumber, Slot};
 use crate::client_state::ClientState;
 use crate::memory::Reservation;
+use exchange::PendingWork;
 use link::{Connection, lock_or_abort};
 use std::sync::{Arc, Mutex};
 
@@ -17,6 +18,18 @@
         Arc::new(Self { socket, state: Mutex::new(ClientState::new(incomplete, unread)) })
     }
 
+    /// Returns what the client still waits for; `None` between two commands, and once the socket has taken the last answer.
+    pub(crate) fn pending_work(&self) -> Option<PendingWork> {
+        let state = lock_or_abort(&self.state);
+        if !state.answers.is_empty() {
+            Some(PendingWork::UnansweredRequest)
+        } else if state.incomplete_command.is_pending() {
+            Some(PendingWork::IncompleteRequest)
+        } else {
+            (self.socket.unsent() > 0).then_some(PendingWork::UnsentAnswer)
+        }
+    }
+
     /// Stores the answer to a command until all earlier answers are written. An answer to a command that is no longer queued is
     /// dropped, since the connection has ended.
     pub(crate) fn set_answer(&self, command: CommandNumber, answer: Slot) {
--- a/crates/front_resp/src/front.rs
+++ b/crates/front_resp/src/front.rs
@@ -8,7 +8,7 @@
 use crate::memory::{MemoryBudget, Reservation};
 use crate::open_requests::OpenRequests;
 use crate::rules::RequestRules;
-use exchange::{AnswerBody, Exchange};
+use exchange::{AnswerBody, Exchange, PendingConnections};
 use link::{Connection, Listener, lock_or_abort, sleep, spawn};
 use resp::RequestCommand;
 use std::net::TcpStream;
@@ -180,4 +180,9 @@
     pub fn open_connections(&self) -> usize {
         self.connections.clients().len()
     }
+
+    /// Counts the open connections whose clients still wait for something.
+    pub fn pending_connections(&self) -> PendingConnections {
+        self.connections.clients().iter().filter_map(|client| client.pending_work()).collect()
+    }
 }
--- a/crates/snowfield/src/appliance.rs
+++ b/crates/snowfield/src/appliance.rs
@@ -7,6 +7,7 @@
 use crate::cluster_settings::{self, ClusterArguments};
 use crate::error::Error;
 use crate::{log, signals};
+use exchange::PendingConnections;
 use startup::Running;
 use std::path::Path;
 use std::time::Duration;
@@ -65,6 +66,10 @@
         self.running.front.open_connections()
     }
 
+    fn pending_connections(&self) -> PendingConnections {
+        self.running.front.pending_connections()
+    }
+
     fn longest_deadline(&self) -> Duration {
         self.longest_deadline
     }
--- a/crates/snowfield/src/platform.rs
+++ b/crates/snowfield/src/platform.rs
@@ -9,6 +9,7 @@
 
 use crate::error::Error;
 use crate::{log, signals};
+use exchange::PendingConnections;
 use running::Running;
 use settings::appliance::LogFormat;
 use std::net::SocketAddr;
@@ -106,6 +107,10 @@
         self.running.exchange.unanswered()
     }
 
+    fn pending_connections(&self) -> PendingConnections {
+        self.running.front.pending_connections()
+    }
+
     fn longest_deadline(&self) -> Duration {
         self.running.longest_deadline.get()
     }
--- a/crates/snowfield/src/signals.rs
+++ b/crates/snowfield/src/signals.rs
@@ -3,6 +3,7 @@
 
 use crate::error::Error;
 use crate::start_retry::with_retries;
+use exchange::PendingConnections;
 use link::Listener;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -32,6 +33,8 @@
     fn close_connections(&self);
     /// Number of open client connections.
     fn open_connections(&self) -> usize;
+    /// Counts the open client connections whose clients still wait for something.
+    fn pending_connections(&self) -> PendingConnections;
     /// Number of requests without a final answer, for a front whose requests may wait for longer than the longest deadline. A
     /// drain waits for these requests.
     fn unanswered(&self) -> usize {
@@ -63,7 +66,13 @@
     listener.close();
     handler.close_connections();
     drain(handler);
-    tracing::info!(count = handler.open_connections(), "stopped with open client connections");
+    log_exit(handler);
+}
+
+fn log_exit(handler: &impl SignalHandler) {
+    let PendingConnections { incomplete, unanswered, unsent } = handler.pending_connections();
+    let count = handler.open_connections();
+    tracing::info!(count, incomplete, unanswered, unsent, "stopped with open client connections");
 }
 
 fn serve_overlap(handler: &impl SignalHandler) {
