Shutdown: the process exits only when no client waits for anything

What callers saw: an appliance got SIGTERM while a client was writing a request. The class may not be repeated, so the client cannot ask again.

Cause: signals::drain ended at a fixed time after its start, the longest deadline and 0.3 s. A request that is accepted during the drain has its whole deadline from then on. Only the platform's handler reported requests without an answer, which prolonged the drain; the default of the trait was 0. Answers that were being sent or forwarded, and incomplete requests, prolonged it on neither front.

Change: the drain goes on while a front counts connections whose clients wait for something, and for 0.3 s more; the trait has no default. Each kind of wait is bounded by its front, so the drain is too. `graceful shutdown waits for clients` is logged once the longest deadline has passed.

Measured: before the fix four new tests failed: at_shutdown_a_request_that_becomes_complete_late_is_answered, ..._an_incomplete_request_has_its_whole_timeout, ..._an_answer_is_sent_completely_to_a_slow_reader (appliance) and ..._a_value_that_is_still_arriving_is_forwarded_completely (platform). Tests of snowfield, both fronts and exchange pass.

--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -185,11 +185,6 @@
         self.lock().status()
     }
 
-    /// The number of requests that wait for their final answer.
-    pub fn unanswered(&self) -> usize {
-        self.lock().unanswered()
-    }
-
     fn lock(&self) -> MutexGuard<'_, RequestTable<Q, A>> {
         // The lock is poisoned: a panic left the table half-changed. Continuing could violate an invariant unnoticed.
         self.table.lock().unwrap_or_else(|_| {
--- a/crates/front_resp/src/client.rs
+++ b/crates/front_resp/src/client.rs
@@ -6,6 +6,7 @@
 use exchange::PendingWork;
 use link::{Connection, lock_or_abort};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 /// A client's connection: the socket, and the connection's state, which a lock protects.
 pub(crate) struct ClientConnection {
@@ -19,11 +20,14 @@
     }
 
     /// Returns what the client still waits for; `None` between two commands, and once the socket has taken the last answer.
-    pub(crate) fn pending_work(&self) -> Option<PendingWork> {
+    ///
+    /// An incomplete command that began after the drain did is not waited for. Otherwise a client that keeps beginning commands
+    /// could keep the process from exiting.
+    pub(crate) fn pending_work(&self, draining_for: Duration) -> Option<PendingWork> {
         let state = lock_or_abort(&self.state);
         if !state.answers.is_empty() {
             Some(PendingWork::UnansweredRequest)
-        } else if state.incomplete_command.is_pending() {
+        } else if state.incomplete_command.age().is_some_and(|age| age >= draining_for) {
             Some(PendingWork::IncompleteRequest)
         } else {
             (self.socket.unsent() > 0).then_some(PendingWork::UnsentAnswer)
--- a/crates/front_resp/src/front.rs
+++ b/crates/front_resp/src/front.rs
@@ -13,7 +13,7 @@
 use resp::RequestCommand;
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Instant;
 
 /// The exchange that the front uses. Its requests are RESP2 commands, and its answers are RESP2 values.
@@ -30,7 +30,8 @@
     pub(crate) connections: ConnectionTable,
     pub(crate) open_requests: Arc<OpenRequests>,
     is_ready: AtomicBool,
-    is_draining: AtomicBool,
+    /// When the graceful drain started.
+    draining_since: OnceLock<Instant>,
     /// Callback that gets each connection as soon as it has no request in flight; `None` except during a hot restart.
     pub(crate) successor: Mutex<Option<Arc<HandOverConnection>>>,
     is_handing_over: AtomicBool,
@@ -71,7 +72,7 @@
             connections: ConnectionTable::new(max_connections),
             open_requests: Arc::default(),
             is_ready: AtomicBool::new(false),
-            is_draining: AtomicBool::new(false),
+            draining_since: OnceLock::new(),
             successor: Mutex::default(),
             is_handing_over: AtomicBool::new(false),
         })
@@ -168,12 +169,13 @@
 
     /// Starts a graceful drain: closes every connection as soon as it has no request in flight.
     pub fn drain(&self) {
-        self.is_draining.store(true, Ordering::Release);
+        // Only the first call sets the time.
+        let _ = self.draining_since.set(Instant::now());
         self.connections.wake_all();
     }
 
     pub(crate) fn is_draining(&self) -> bool {
-        self.is_draining.load(Ordering::Acquire)
+        self.draining_since.get().is_some()
     }
 
     /// Returns the number of client connections that are open in this process.
@@ -181,8 +183,10 @@
         self.connections.clients().len()
     }
 
-    /// Counts the open connections whose clients still wait for something.
+    /// Counts the open connections whose clients still wait for something. Each of them is bounded in time: by the timeout of
+    /// commands, the deadline of its request, or the stall timeout of a streamed answer.
     pub fn pending_connections(&self) -> PendingConnections {
-        self.connections.clients().iter().filter_map(|client| client.pending_work()).collect()
+        let draining_for = self.draining_since.get().map(Instant::elapsed).unwrap_or_default();
+        self.connections.clients().iter().filter_map(|client| client.pending_work(draining_for)).collect()
     }
 }
--- a/crates/snowfield/src/platform.rs
+++ b/crates/snowfield/src/platform.rs
@@ -103,10 +103,6 @@
         self.running.front.open_connections() + self.running.hot_restart.connections_in_transfer()
     }
 
-    fn unanswered(&self) -> usize {
-        self.running.exchange.unanswered()
-    }
-
     fn pending_connections(&self) -> PendingConnections {
         self.running.front.pending_connections()
     }
--- a/crates/snowfield/src/signals.rs
+++ b/crates/snowfield/src/signals.rs
@@ -12,7 +12,8 @@
 
 /// Minimum time of service after SIGTERM. New connections arrive for up to 0.4 s after SIGTERM.
 pub const MIN_OVERLAP: Duration = Duration::from_millis(500);
-/// Time that a drain may last after the longest deadline: the machine may be busy, and clients may still read their last answer.
+/// Time that a drain may last after the longest deadline, and after a client was last seen to wait: the machine may be busy, and
+/// clients may still read their last answer.
 const DRAIN_MARGIN: Duration = Duration::from_millis(300);
 /// Interval at which a shutdown checks whether the overlap must end and whether connections are still open.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
@@ -33,13 +34,8 @@
     fn close_connections(&self);
     /// Number of open client connections.
     fn open_connections(&self) -> usize;
-    /// Counts the open client connections whose clients still wait for something.
+    /// Counts the open client connections whose clients still wait for something. A drain waits for them.
     fn pending_connections(&self) -> PendingConnections;
-    /// Number of requests without a final answer, for a front whose requests may wait for longer than the longest deadline. A
-    /// drain waits for these requests.
-    fn unanswered(&self) -> usize {
-        0
-    }
     /// The longest deadline of all classes whose requests may be in flight.
     fn longest_deadline(&self) -> Duration;
 }
@@ -84,13 +80,37 @@
     }
 }
 
-/// Waits until all client connections are closed, or the longest deadline with [`DRAIN_MARGIN`] has passed and all requests are
-/// answered. A client may wait for longer than the deadline of its class.
+/// Waits until all client connections are closed, but not for clients that have their answers and stay connected: with these, the
+/// drain ends when the longest deadline and [`DRAIN_MARGIN`] have passed, and no client has waited for anything for
+/// [`DRAIN_MARGIN`].
+///
+/// A request may be accepted during the drain, so the time since its start does not tell whether all are answered. The front
+/// bounds the time of each request and answer, and thereby the drain.
 fn drain(handler: &impl SignalHandler) {
-    let started = Instant::now();
-    let timeout = handler.longest_deadline() + DRAIN_MARGIN;
-    let may_be_unanswered = || started.elapsed() < timeout || handler.unanswered() > 0;
-    while handler.open_connections() > 0 && may_be_unanswered() {
+    let longest_deadline_passes_at = Instant::now() + handler.longest_deadline() + DRAIN_MARGIN;
+    let mut ends_at = longest_deadline_passes_at;
+    let mut is_wait_logged = false;
+    while handler.open_connections() > 0 {
+        let now = Instant::now();
+        let pending = handler.pending_connections();
+        if pending.is_empty() {
+            if now >= ends_at {
+                return;
+            }
+        } else {
+            ends_at = ends_at.max(now + DRAIN_MARGIN);
+            if now >= longest_deadline_passes_at && !std::mem::replace(&mut is_wait_logged, true) {
+                log_wait(pending);
+            }
+        }
         thread::sleep(POLL_INTERVAL);
     }
 }
+
+fn log_wait(pending: PendingConnections) {
+    let PendingConnections { incomplete, unanswered, unsent } = pending;
+    tracing::info!(incomplete, unanswered, unsent, "graceful shutdown waits for clients");
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/snowfield/tests/appliance_shutdown.rs
+++ b/crates/snowfield/tests/appliance_shutdown.rs
@@ -1,4 +1,8 @@
-//! Graceful shutdown of the appliance (docs/design/shutdown-and-cancellation.md).
+//! Graceful shutdown of the appliance: each request that was accepted is answered, and the process exits when nothing is pending
+//! (docs/design/shutdown-and-cancellation.md).
+//!
+//! The appliance serves for 0.5 s after the signal. Then it drains for up to the longest deadline and 0.3 s, and for longer only
+//! while a client still waits for something.
 
 mod common;
 
@@ -8,6 +12,8 @@
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread::sleep;
+use std::time::Duration;
 
 /// A backend that holds the response to its only request until the test releases it.
 struct HoldingBackend {
@@ -27,6 +33,91 @@
     HoldingBackend { address, events, release }
 }
 
+/// A request of the class `notice`, which must not be sent twice.
+fn post_request() -> String {
+    "POST /v1/loans/7 HTTP/1.1\r\nHost: api.example.com\r\nX-Lender: al-noor\r\nContent-Length: 6\r\n\r\nnotice".into()
+}
+
+/// Opens a connection and sends the first half of a request on it.
+fn send_first_half(site: &Appliance, request: &str) -> Client {
+    let mut client = Client::connect(site.listen);
+    client.send(&request.as_bytes()[..request.len() / 2]);
+    client
+}
+
+fn send_second_half(client: &mut Client, request: &str) {
+    client.send(&request.as_bytes()[request.len() / 2..]);
+}
+
+/// Regression: the process exited at a fixed time after the start of the drain, although a request that had become complete
+/// during the drain was in flight. The backend ran the request, and the client got no answer.
+#[test]
+fn at_shutdown_a_request_that_becomes_complete_late_is_answered() {
+    for signal in ["-TERM", "-INT"] {
+        let HoldingBackend { address, events, release } = start_holding_backend();
+        let options =
+            ApplianceOptions { backends: &[address], deadline_ms: 2_000, ..ApplianceOptions::default() };
+        let mut site = start_appliance("complete-late", &options);
+        let mut client = send_first_half(&site, &post_request());
+        site.program.signal(signal);
+        sleep(Duration::from_millis(2_000));
+        send_second_half(&mut client, &post_request());
+        next_request(&events);
+        // 3.2 s after the signal the longest deadline and the margin have passed, and the request has 0.8 s left.
+        sleep(Duration::from_millis(1_200));
+        release.send(()).expect("the stand-in waits for the release");
+        assert_eq!(client.read_response().status(), 200);
+        drop(client);
+        assert_eq!(site.program.wait(), Some(0));
+    }
+}
+
+/// Regression: the process exited while requests were incomplete. One of them could have become complete at that moment.
+#[test]
+fn at_shutdown_an_incomplete_request_has_its_whole_timeout() {
+    let (address, _events) = start_http_echo_backend();
+    let options = ApplianceOptions {
+        backends: &[address],
+        deadline_ms: 800,
+        patience_ms: 4_000,
+        ..ApplianceOptions::default()
+    };
+    let mut site = start_appliance("incomplete", &options);
+    let mut completed = send_first_half(&site, &post_request());
+    let mut stalled = send_first_half(&site, &post_request());
+    site.program.terminate();
+    // 2.2 s after the signal the longest deadline and the margin have passed.
+    sleep(Duration::from_millis(2_200));
+    send_second_half(&mut completed, &post_request());
+    assert_eq!(completed.read_response().status(), 200);
+    assert_eq!(stalled.read_response().status(), 408);
+    drop((completed, stalled));
+    assert_eq!(site.program.wait(), Some(0));
+}
+
+/// Regression: the process exited while a client was still reading its answer. The rest of the answer was lost.
+#[test]
+fn at_shutdown_an_answer_is_sent_completely_to_a_slow_reader() {
+    const BODY_BYTES: usize = 16_000_000;
+    let (address, _events) =
+        start_backend(read_message, |_| Behaviour::Reply(ok_response(&"x".repeat(BODY_BYTES))));
+    let limits = "answer_bytes = 16000000";
+    let options =
+        ApplianceOptions { backends: &[address], deadline_ms: 800, limits, ..ApplianceOptions::default() };
+    let mut site = start_appliance("slow-reader", &options);
+    let mut client = Client::connect(site.listen);
+    client.send(get_request("/v1/loans/7").as_bytes());
+    let head = read_message_head(&mut client.reader).expect("the response begins");
+    assert_eq!(head.status(), 200);
+    site.program.terminate();
+    // 2.2 s after the signal the longest deadline and the margin have passed.
+    sleep(Duration::from_millis(2_200));
+    let mut body = vec![0; BODY_BYTES];
+    client.reader.read_exact(&mut body).expect("the response is complete");
+    drop(client);
+    assert_eq!(site.program.wait(), Some(0));
+}
+
 /// The response to the request in flight is sent. Requests after it are not read, so that their client may safely send them
 /// again.
 #[test]
--- a/crates/snowfield/tests/large_values.rs
+++ b/crates/snowfield/tests/large_values.rs
@@ -86,6 +86,35 @@
     assert_eq!(metric(&text, "balancer_pending"), 0);
 }
 
+/// Regression: the process exited at a fixed time after the start of the drain, although a backend was still sending a value.
+#[test]
+fn at_shutdown_a_value_that_is_still_arriving_is_forwarded_completely() {
+    let (release, released) = channel();
+    let released = std::sync::Mutex::new(released);
+    let address = start_backend_writing(move |_, writer| {
+        let reply = reply_with_value(&large_value(300_000), REPLY_TAIL);
+        writer.write_all(&reply[..150_000])?;
+        released.lock().expect("the lock is not poisoned").recv().expect("the test releases the reply");
+        writer.write_all(&reply[150_000..])
+    });
+    let options = SiteOptions { backends: &[address], ..SiteOptions::default() };
+    let mut site = start_site_with_config("large-at-end", &options, |text| {
+        text.replace(r#""deadline-us":2500000"#, r#""deadline-us":600000"#)
+    });
+    let mut client = Client::connect(site.listen);
+    client.send(&query_of_new_tenant(1));
+    client.reader.read_exact(&mut [0; 9]).expect("the value begins to arrive");
+    site.program.terminate();
+    // The overlap ends 0.5 s after the signal, as a value is arriving. Then the longest deadline and the margin take 0.9 s.
+    std::thread::sleep(std::time::Duration::from_millis(2_200));
+    release.send(()).expect("the stand-in waits for the release");
+    let mut value = vec![0; 300_000];
+    client.reader.read_exact(&mut value).expect("the whole value arrives");
+    assert!(value == large_value(300_000));
+    drop(client);
+    assert_eq!(site.program.wait(), Some(0));
+}
+
 /// A large value whose client does not read takes the memory of one window, and other clients are served meanwhile.
 #[test]
 fn clients_that_do_not_read_take_little_memory_and_do_not_delay_others() {
--- a/crates/snowfield/tests/shutdown_and_cancellation.rs
+++ b/crates/snowfield/tests/shutdown_and_cancellation.rs
@@ -480,3 +480,26 @@
     drop((connected, waiting));
     assert_eq!(site.program.wait(), Some(0));
 }
+
+/// A client whose input always ends in a part of a command keeps its connection open, but not the process. Commands that begin
+/// after connections have begun to close may be left incomplete.
+#[test]
+fn at_shutdown_a_client_that_keeps_beginning_commands_does_not_prevent_the_exit() {
+    let mut site = start_site_with_config("begins-commands", &SiteOptions::default(), |text| {
+        text.replace(r#""deadline-us":2500000"#, r#""deadline-us":600000"#)
+    });
+    let mut client = Client::connect(site.listen);
+    client.send(&resp_command(&["PING"]));
+    assert_eq!(client.read_reply(), "+PONG");
+    let ping = resp_command(&["PING"]);
+    let (begin, rest) = ping.split_at(5);
+    client.send(begin);
+    site.program.terminate();
+    let terminated = Instant::now();
+    let rest_and_begin = [rest, begin].concat();
+    while client.writer.write_all(&rest_and_begin).is_ok() && terminated.elapsed() < TIMEOUT {
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    assert!(terminated.elapsed() < Duration::from_secs(8), "{:?}", terminated.elapsed());
+    assert_eq!(site.program.wait(), Some(0));
+}
