Shutdown: the response to an invalid request closes its connection too

What callers saw: while an appliance closed its connections, a 404 came without Connection: close, and the request behind it was accepted.

Cause: in front_openapi only the response of the exchange checked whether the front drains. The response to an invalid request went by the client's wish alone.

Change: one function, keeps_alive, for both.

Measured: at_shutdown_the_response_to_an_invalid_request_closes_its_connection failed before the fix (no Connection field) and passes with it.

--- a/crates/front_openapi/src/serve.rs
+++ b/crates/front_openapi/src/serve.rs
@@ -55,16 +55,22 @@
         let resolved = match resolved {
             Ok(resolved) => resolved,
             Err(problem) => {
-                return self.send(client, &problem.encode(!head.keep_alive, is_head), head.keep_alive);
+                let keep_alive = self.keeps_alive(&head);
+                return self.send(client, &problem.encode(!keep_alive, is_head), keep_alive);
             }
         };
         let request = self.exchange_request(&bytes, &head, body, resolved)?;
         let answer = self.await_answer(client, buffer, request)?;
         lock_or_abort(&self.counts)[resolved.route].count(&answer);
-        let keep_alive = head.keep_alive && !self.is_draining();
+        let keep_alive = self.keeps_alive(&head);
         self.send(client, &encode_answer(&answer, !keep_alive, is_head), keep_alive)
     }
 
+    /// Whether the connection serves further requests after this one.
+    fn keeps_alive(&self, head: &RequestHead) -> bool {
+        head.keep_alive && !self.is_draining()
+    }
+
     /// Sends an answer. If the connection stays open, waits until the socket has taken the answer.
     fn send(&self, client: &ClientConnection, bytes: &[u8], keep_alive: bool) -> ServeResult {
         client.connection.send(bytes).map_err(|_| ConnectionEnd::ClientGone)?;
--- a/crates/snowfield/tests/appliance_shutdown.rs
+++ b/crates/snowfield/tests/appliance_shutdown.rs
@@ -118,6 +118,29 @@
     assert_eq!(site.program.wait(), Some(0));
 }
 
+/// Regression: during the drain, the response to an invalid request said that the connection stays open, and the requests
+/// behind it were accepted. A client that kept sending them was never disconnected.
+#[test]
+fn at_shutdown_the_response_to_an_invalid_request_closes_its_connection() {
+    let (address, events) = start_http_echo_backend();
+    let options = ApplianceOptions { backends: &[address], ..ApplianceOptions::default() };
+    let mut site = start_appliance("invalid", &options);
+    let mut idle = Client::connect(site.listen);
+    assert_eq!(idle.request(&get_request("/v1/nothing")).status(), 404);
+    let invalid = get_request("/v1/nothing");
+    let mut client = send_first_half(&site, &invalid);
+    site.program.terminate();
+    assert!(idle.is_closed(), "the program has begun to close connections");
+    let rest = invalid[invalid.len() / 2..].to_owned();
+    client.send((rest + &get_request("/v1/loans/7")).as_bytes());
+    let response = client.read_response();
+    assert_eq!((response.status(), response.field("connection")), (404, Some("close")));
+    assert!(client.is_closed());
+    drop((client, idle));
+    assert_eq!(site.program.wait(), Some(0));
+    assert!(all_requests(&events).is_empty(), "the request behind the invalid one is not forwarded");
+}
+
 /// The response to the request in flight is sent. Requests after it are not read, so that their client may safely send them
 /// again.
 #[test]
