OpenAPI front: a part of a request behind a complete one is not idle

What callers saw: a request whose first bytes arrived with the request before it, and that stayed incomplete, got no 408. Its connection counted as idle: it stayed open, could be evicted as if it were between requests, and a shutdown did not wait for it.

Cause: the phase Reading was entered when bytes arrived. Bytes that arrived while the request before was in flight were in the buffer already.

Change: while the buffer holds a part of a request, the phase is Reading.

Measured: an_incomplete_request_behind_a_complete_one_gets_408 got no response in 20 s before the fix, with a timeout of 0.2 s, and passes with it.

--- a/crates/front_openapi/src/receive.rs
+++ b/crates/front_openapi/src/receive.rs
@@ -70,12 +70,12 @@
 
     /// Waits for more bytes of a request.
     fn read_more(&self, client: &ClientConnection, buffer: &mut Vec<u8>) -> ServeResult {
-        if buffer.is_empty() && client.phase().phase != Phase::Reading {
-            if self.is_draining() {
-                return Err(ConnectionEnd::BetweenRequests);
-            }
-            client.enter_phase(Phase::Idle);
+        let is_between_requests = buffer.is_empty() && client.phase().phase != Phase::Reading;
+        if is_between_requests && self.is_draining() {
+            return Err(ConnectionEnd::BetweenRequests);
         }
+        // A part of a request may have arrived behind an earlier one.
+        client.enter_phase(if is_between_requests { Phase::Idle } else { Phase::Reading });
         match client.connection.receive(buffer, MAX_READ_BYTES) {
             // Requests of a client that has disconnected are not submitted.
             Ok(Incoming::Bytes(_)) if client.connection.is_peer_closed() => Err(ConnectionEnd::ClientGone),
--- a/crates/snowfield/tests/appliance.rs
+++ b/crates/snowfield/tests/appliance.rs
@@ -297,6 +297,19 @@
     assert_eq!(idle.request(&get_request("/v1/loans/7")).status(), 200);
 }
 
+/// Regression: an incomplete request behind a complete one counted as idle. It got no 408, and its connection was closed as if it
+/// were between requests.
+#[test]
+fn an_incomplete_request_behind_a_complete_one_gets_408() {
+    let (address, _events) = start_http_echo_backend();
+    let options = ApplianceOptions { backends: &[address], patience_ms: 200, ..ApplianceOptions::default() };
+    let site = start_appliance("slow-behind", &options);
+    let mut client = Client::connect(site.listen);
+    client.send((get_request("/v1/loans/7") + "GET /v1/loans/7 HTTP/1.1\r\nHost:").as_bytes());
+    assert_eq!(client.read_response().status(), 200);
+    assert_eq!(client.read_response().status(), 408);
+}
+
 /// Regression: clients that never closed their connections filled the connection table and kept out new ones.
 #[test]
 fn idle_connections_are_closed_to_admit_new_clients() {
