OpenAPI front: at a shutdown, connections from the backlog are read before they end

What callers saw: a client that connected and sent its request while an appliance closed its listener got the end of the connection and no response.

Cause: connections in the backlog are accepted at the close, but read_more ended a connection between requests as soon as the front drained, also one that had never been read.

Change: a draining connection is woken and then read. Bytes that have arrived are returned before the wake, which then ends it.

--- a/crates/front_openapi/src/receive.rs
+++ b/crates/front_openapi/src/receive.rs
@@ -72,7 +72,8 @@
     fn read_more(&self, client: &ClientConnection, buffer: &mut Vec<u8>) -> ServeResult {
         let is_between_requests = buffer.is_empty() && client.phase().phase != Phase::Reading;
         if is_between_requests && self.is_draining() {
-            return Err(ConnectionEnd::BetweenRequests);
+            // Bytes that have arrived are read before the wake is reported, so no request that has arrived is left unread.
+            client.connection.wake();
         }
         // A part of a request may have arrived behind an earlier one.
         client.enter_phase(if is_between_requests { Phase::Idle } else { Phase::Reading });
@@ -83,15 +84,19 @@
                 client.enter_phase(Phase::Reading);
                 Ok(())
             }
-            Ok(Incoming::Woken) => self.check_timeouts(client),
+            Ok(Incoming::Woken) => self.check_woken(client),
             Ok(Incoming::End) | Err(_) => Err(ConnectionEnd::ClientGone),
         }
     }
 
-    /// Ends a woken connection if its close was requested while it is idle, or if its request has exceeded the client timeout.
-    fn check_timeouts(&self, client: &ClientConnection) -> ServeResult {
+    /// Ends a woken connection if it is idle and the front drains or its close was requested, or if its request has exceeded the
+    /// client timeout.
+    fn check_woken(&self, client: &ClientConnection) -> ServeResult {
         let current = client.phase();
         // A wake is reported only when nothing is left to read, so no request has arrived unread.
+        if current.phase == Phase::Idle && self.is_draining() {
+            return Err(ConnectionEnd::BetweenRequests);
+        }
         if client.take_close_request() && client.idle_since(MIN_IDLE_FOR_EVICTION).is_some() {
             return Err(ConnectionEnd::BetweenRequests);
         }
--- a/crates/snowfield/tests/appliance_shutdown.rs
+++ b/crates/snowfield/tests/appliance_shutdown.rs
@@ -118,6 +118,37 @@
     assert_eq!(site.program.wait(), Some(0));
 }
 
+/// Suspends the program while it closes its listener, 0.5 s after the signal, and connects clients meanwhile, so that their
+/// connections and requests are in the backlog. Returns the clients after the program has resumed.
+fn connect_while_the_listener_closes(site: &Appliance) -> Vec<Client> {
+    site.program.terminate();
+    sleep(Duration::from_millis(350));
+    site.program.suspend();
+    let mut waiting: Vec<Client> = (0..6).map(|_| Client::connect(site.listen)).collect();
+    waiting.iter_mut().for_each(|client| client.send(get_request("/v1/loans/7").as_bytes()));
+    sleep(Duration::from_millis(300));
+    site.program.signal("-CONT");
+    waiting
+}
+
+/// Regression: a connection that was in the backlog with its request when the listener closed was accepted, and closed without
+/// being read.
+#[test]
+fn at_shutdown_a_request_in_the_listener_backlog_is_answered() {
+    let (address, _events) = start_http_echo_backend();
+    let options = ApplianceOptions { backends: &[address], ..ApplianceOptions::default() };
+    let mut site = start_appliance("backlog", &options);
+    // This connection keeps the process from exiting.
+    let mut connected = Client::connect(site.listen);
+    assert_eq!(connected.request(&get_request("/v1/loans/7")).status(), 200);
+    let mut waiting = connect_while_the_listener_closes(&site);
+    for client in &mut waiting {
+        assert_eq!(client.read_response().status(), 200);
+    }
+    drop((connected, waiting));
+    assert_eq!(site.program.wait(), Some(0));
+}
+
 /// Regression: during the drain, the response to an invalid request said that the connection stays open, and the requests
 /// behind it were accepted. A client that kept sending them was never disconnected.
 #[test]
