Shutdown: the drain waits until the listener's backlog is accepted

What callers saw, on both fronts: a client that connected and sent its request while a process without other connections closed its listener got a reset.

Cause: the signal thread closes the listener, the accept loop runs on the worker. The drain ended as soon as no connection was open, at its first check if the accept loop had not run yet, or while it waited for a free place in a full table.

Change: the listener says whether its accept loop has ended, which is once the last connection is in the table; the drain waits for it, up to its usual end.

--- a/crates/link/src/listener.rs
+++ b/crates/link/src/listener.rs
@@ -12,6 +12,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener};
 use std::os::fd::{AsFd, BorrowedFd};
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 /// Maximum length of the accept queue. Hundreds of clients reconnect at once when another gatekeeper fails.
@@ -24,6 +25,8 @@
 pub struct Listener {
     socket: RegisteredSocket<TcpListener>,
     state: SharedAcceptState,
+    /// Whether [`Listener::accept`] has returned `None`.
+    has_ended: AtomicBool,
     burst: Mutex<AcceptBurst>,
 }
 
@@ -73,7 +76,8 @@
     pub fn inherit(listener: TcpListener) -> io::Result<Self> {
         let socket = RegisteredSocket::new(listener)?;
         let state = SharedAcceptState::new(AcceptState::Open);
-        Ok(Self { socket, state, burst: Mutex::new(AcceptBurst::start()) })
+        let burst = Mutex::new(AcceptBurst::start());
+        Ok(Self { socket, state, has_ended: AtomicBool::new(false), burst })
     }
 
     /// Returns the address that the socket is bound to.
@@ -94,6 +98,19 @@
     /// listener has left the accept queue to the other processes that listen on the socket.
     pub fn accept(&self) -> Option<Connection> {
         self.yield_after_burst();
+        let connection = self.accept_next();
+        if connection.is_none() {
+            self.has_ended.store(true, Ordering::Release);
+        }
+        connection
+    }
+
+    /// Whether the accept loop may still accept connections. It has added all that it accepted to its table once this is false.
+    pub fn is_accepting(&self) -> bool {
+        !self.has_ended.load(Ordering::Acquire)
+    }
+
+    fn accept_next(&self) -> Option<Connection> {
         loop {
             match self.state.get() {
                 AcceptState::Paused => {
--- a/crates/snowfield/src/platform.rs
+++ b/crates/snowfield/src/platform.rs
@@ -99,6 +99,10 @@
         self.running.front.drain();
     }
 
+    fn is_accepting(&self) -> bool {
+        self.running.listener.is_accepting()
+    }
+
     fn open_connections(&self) -> usize {
         self.running.front.open_connections() + self.running.hot_restart.connections_in_transfer()
     }
--- a/crates/snowfield/src/signals.rs
+++ b/crates/snowfield/src/signals.rs
@@ -32,6 +32,8 @@
     }
     /// Starts closing client connections, each between two requests.
     fn close_connections(&self);
+    /// Whether connections from the listener's backlog may still be accepted.
+    fn is_accepting(&self) -> bool;
     /// Number of open client connections.
     fn open_connections(&self) -> usize;
     /// Counts the open client connections whose clients still wait for something. A drain waits for them.
@@ -80,7 +82,7 @@
     }
 }
 
-/// Waits until all client connections are closed, but not for clients that have their answers and stay connected: with these, the
+/// Waits until the backlog is accepted and all client connections are closed, but not for clients that have their answers and stay connected: with these, the
 /// drain ends when the longest deadline and [`DRAIN_MARGIN`] have passed, and no client has waited for anything for
 /// [`DRAIN_MARGIN`].
 ///
@@ -90,7 +92,7 @@
     let longest_deadline_passes_at = Instant::now() + handler.longest_deadline() + DRAIN_MARGIN;
     let mut ends_at = longest_deadline_passes_at;
     let mut is_wait_logged = false;
-    while handler.open_connections() > 0 {
+    while handler.is_accepting() || handler.open_connections() > 0 {
         let now = Instant::now();
         let pending = handler.pending_connections();
         if pending.is_empty() {
--- a/crates/snowfield/src/signals/tests.rs
+++ b/crates/snowfield/src/signals/tests.rs
@@ -12,13 +12,15 @@
 /// A process whose state changes at times after its start.
 struct ScheduledProcess {
     started: Instant,
+    accepting_until: Duration,
     open_until: Duration,
     unanswered_until: Duration,
 }
 
 impl ScheduledProcess {
     fn with_open_connection_until(open_until: Duration) -> Self {
-        Self { started: Instant::now(), open_until, unanswered_until: Duration::ZERO }
+        let never = Duration::ZERO;
+        Self { started: Instant::now(), accepting_until: never, open_until, unanswered_until: never }
     }
 
     /// Drains, and returns the time that this took.
@@ -33,6 +35,10 @@
 
     fn close_connections(&self) {}
 
+    fn is_accepting(&self) -> bool {
+        self.started.elapsed() < self.accepting_until
+    }
+
     fn open_connections(&self) -> usize {
         usize::from(self.started.elapsed() < self.open_until)
     }
@@ -69,3 +75,12 @@
     let expected = unanswered_until + DRAIN_MARGIN;
     assert!(elapsed + POLL_INTERVAL >= expected && elapsed < expected + TOLERANCE, "{elapsed:?}");
 }
+
+/// Regression: a drain ended while the accept loop still had connections from the backlog, if no other connection was open.
+#[test]
+fn a_drain_waits_for_the_accept_loop() {
+    let accepting_until = Duration::from_millis(100);
+    let open = ScheduledProcess::with_open_connection_until(Duration::ZERO);
+    let elapsed = ScheduledProcess { accepting_until, ..open }.drain();
+    assert!(elapsed >= accepting_until && elapsed < MIN_TIMEOUT, "{elapsed:?}");
+}
--- a/crates/snowfield/tests/appliance_shutdown.rs
+++ b/crates/snowfield/tests/appliance_shutdown.rs
@@ -149,6 +149,20 @@
     assert_eq!(site.program.wait(), Some(0));
 }
 
+/// Regression: the process exited before it had accepted the connections in the backlog, if it had no other connection.
+#[test]
+fn at_shutdown_the_process_accepts_the_listener_backlog_before_it_exits() {
+    let (address, _events) = start_http_echo_backend();
+    let options = ApplianceOptions { backends: &[address], ..ApplianceOptions::default() };
+    let mut site = start_appliance("backlog-alone", &options);
+    let mut waiting = connect_while_the_listener_closes(&site);
+    for client in &mut waiting {
+        assert_eq!(client.read_response().status(), 200);
+    }
+    drop(waiting);
+    assert_eq!(site.program.wait(), Some(0));
+}
+
 /// Regression: during the drain, the response to an invalid request said that the connection stays open, and the requests
 /// behind it were accepted. A client that kept sending them was never disconnected.
 #[test]
--- a/crates/snowfield/tests/shutdown_and_cancellation.rs
+++ b/crates/snowfield/tests/shutdown_and_cancellation.rs
@@ -453,6 +453,21 @@
     assert_eq!(site.program.wait(), Some(0));
 }
 
+/// Suspends the program while it closes its listener, 2.45 s after the signal, and connects clients meanwhile, so that their
+/// connections and requests are in the backlog. Returns the clients after the program has resumed.
+fn connect_while_the_listener_closes(site: &Site) -> Vec<Client> {
+    site.program.terminate();
+    std::thread::sleep(Duration::from_millis(2_300));
+    site.program.suspend();
+    let mut waiting: Vec<Client> = (0..6).map(|_| Client::connect(site.listen)).collect();
+    for (client, number) in waiting.iter_mut().zip(100..) {
+        client.send(&query_of_new_tenant(number));
+    }
+    std::thread::sleep(Duration::from_millis(300));
+    site.program.signal("-CONT");
+    waiting
+}
+
 /// Regression: a connection that was in the backlog with its request when the listener closed was accepted, and closed without
 /// being read.
 #[test]
@@ -460,24 +475,29 @@
     let (address, _events) = start_echo_backend();
     let mut site =
         start_site("waited-at-listener", &SiteOptions { backends: &[address], ..SiteOptions::default() });
+    // This connection keeps the process from exiting.
     let mut connected = Client::connect(site.listen);
     connected.send(&query_of_new_tenant(1));
     assert_eq!(connected.read_reply(), request_id(1));
-    site.program.terminate();
-    // The listener closes 2.45 s after the signal. The program is suspended at that moment, and new connections wait in the
-    // backlog.
-    std::thread::sleep(Duration::from_millis(2_300));
-    site.program.suspend();
-    let mut waiting: Vec<Client> = (0..6).map(|_| Client::connect(site.listen)).collect();
+    let mut waiting = connect_while_the_listener_closes(&site);
     for (client, number) in waiting.iter_mut().zip(100..) {
-        client.send(&query_of_new_tenant(number));
+        assert_eq!(client.read_reply(), request_id(number));
     }
-    std::thread::sleep(Duration::from_millis(300));
-    site.program.signal("-CONT");
+    drop((connected, waiting));
+    assert_eq!(site.program.wait(), Some(0));
+}
+
+/// Regression: the process exited before it had accepted the connections in the backlog, if it had no other connection.
+#[test]
+fn at_shutdown_the_process_accepts_the_listener_backlog_before_it_exits() {
+    let (address, _events) = start_echo_backend();
+    let mut site =
+        start_site("backlog-alone", &SiteOptions { backends: &[address], ..SiteOptions::default() });
+    let mut waiting = connect_while_the_listener_closes(&site);
     for (client, number) in waiting.iter_mut().zip(100..) {
         assert_eq!(client.read_reply(), request_id(number));
     }
-    drop((connected, waiting));
+    drop(waiting);
     assert_eq!(site.program.wait(), Some(0));
 }
 
