Tests: shutdowns of the appliance under clients with drawn times

The tests of the shutdown force one moment each. This one draws them: 40 clients begin within 1.6 s, write for up to 2.5 s, and the backend takes up to 1.5 s; the signal comes after 1 s. Each request that the backend ran must have an answer.

--- a/crates/snowfield/tests/appliance_shutdown.rs
+++ b/crates/snowfield/tests/appliance_shutdown.rs
@@ -8,8 +8,8 @@
 
 use common::appliance::*;
 use common::*;
-use std::io::Read;
-use std::net::SocketAddr;
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::Mutex;
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread::sleep;
@@ -186,6 +186,105 @@
     assert!(all_requests(&events).is_empty(), "the request behind the invalid one is not forwarded");
 }
 
+/// A client that sends one request at drawn times.
+#[derive(Clone, Copy)]
+struct PlannedClient {
+    number: usize,
+    starts_after: Duration,
+    writes_for: Duration,
+    /// Time that the backend needs for the request.
+    processing_time: Duration,
+}
+
+/// How a client's request ended.
+#[derive(Debug, PartialEq, Eq)]
+enum ClientOutcome {
+    Answered(u16),
+    /// The connection was refused, or ended without a response.
+    Closed,
+}
+
+impl PlannedClient {
+    fn draw(number: usize, random: &mut fastrand::Rng) -> Self {
+        let mut time_up_to = |milliseconds| Duration::from_millis(random.u64(0..milliseconds));
+        Self {
+            number,
+            starts_after: time_up_to(1_600),
+            writes_for: time_up_to(2_500),
+            processing_time: time_up_to(1_500),
+        }
+    }
+
+    fn request(&self) -> String {
+        format!(
+            "POST /v1/loans/{} HTTP/1.1\r\nHost: api.example.com\r\nX-Lender: al-noor\r\nX-Processing-Time: {}\r\n\
+             Content-Length: 6\r\n\r\nnotice",
+            self.number,
+            self.processing_time.as_millis()
+        )
+    }
+
+    fn run(&self, address: SocketAddr) -> ClientOutcome {
+        sleep(self.starts_after);
+        self.send_request(address)
+            .map_or(ClientOutcome::Closed, |response| ClientOutcome::Answered(response.status()))
+    }
+
+    /// Sends the request in two parts. Returns the response; `None` if the connection is refused or ends without one.
+    fn send_request(&self, address: SocketAddr) -> Option<Message> {
+        let mut connection = TcpStream::connect(address).ok()?;
+        connection.set_read_timeout(Some(TIMEOUT)).expect("the timeout can be set");
+        let request = self.request();
+        let (first_half, second_half) = request.split_at(request.len() / 2);
+        connection.write_all(first_half.as_bytes()).ok()?;
+        sleep(self.writes_for);
+        connection.write_all(second_half.as_bytes()).ok()?;
+        read_message(&mut BufReader::new(connection))
+    }
+}
+
+/// Shuts an appliance down while clients send requests at times drawn from `seed`.
+fn shut_down_under_load(seed: u64) {
+    const CLIENTS: usize = 40;
+    const SIGNAL_AFTER: Duration = Duration::from_millis(1_000);
+    let (address, events) = start_backend(read_message, |request| {
+        let milliseconds = request.field("x-processing-time").and_then(|text| text.parse().ok());
+        sleep(Duration::from_millis(milliseconds.expect("a number of milliseconds")));
+        Behaviour::Reply(ok_response(&request.first_line))
+    });
+    let options =
+        ApplianceOptions { backends: &[address], deadline_ms: 2_000, ..ApplianceOptions::default() };
+    let mut site = start_appliance(&format!("seed-{seed}"), &options);
+    let mut random = fastrand::Rng::with_seed(seed);
+    let listen = site.listen;
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|number| PlannedClient::draw(number, &mut random))
+        .map(|client| std::thread::spawn(move || client.run(listen)))
+        .collect();
+    sleep(SIGNAL_AFTER);
+    let forwarded_before = all_requests(&events);
+    site.program.terminate();
+    let outcomes: Vec<ClientOutcome> =
+        clients.into_iter().map(|client| client.join().expect("the client ends")).collect();
+    assert_eq!(site.program.wait(), Some(0), "seed {seed}");
+    let forwarded_after = all_requests(&events);
+    assert!(!forwarded_after.is_empty(), "seed {seed}: no request was forwarded after the signal");
+    for request in forwarded_before.iter().chain(&forwarded_after) {
+        let number = request.target().rsplit('/').next().and_then(|text| text.parse::<usize>().ok());
+        let outcome = &outcomes[number.expect("the number of the client")];
+        assert_ne!(*outcome, ClientOutcome::Closed, "seed {seed}: {} was run", request.first_line);
+    }
+}
+
+/// A request that a backend has run has a final answer, whenever it began, became complete and was answered around a shutdown.
+#[test]
+fn at_shutdown_each_request_that_was_run_is_answered() {
+    let runs = [1, 2, 3].map(|seed| std::thread::spawn(move || shut_down_under_load(seed)));
+    for run in runs {
+        run.join().expect("each request that was run is answered");
+    }
+}
+
 /// The response to the request in flight is sent. Requests after it are not read, so that their client may safely send them
 /// again.
 #[test]
