KNOWN-RED.txt: entries have a command and what was seen, and may be the soak's

An entry was TEST | CAUSE | ISSUE and had to be a test of cargo, so that neither a seed nor a rule that the soak breaks could be listed. It is now TARGET::TEST | COMMAND AND SEED | SEEN | ISSUE; a rule of the soak has the target soak. There is no list at present.

Measured: tests of known_failures, 11 pass.

--- a/crates/known_failures/src/list.rs
+++ b/crates/known_failures/src/list.rs
@@ -11,14 +11,14 @@
 /// Why a list is invalid.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum ListError {
-    /// A line does not have exactly three parts between bars.
-    #[error("a line is not of the form TARGET::TEST | CAUSE | ISSUE: {line}")]
+    /// A line does not have exactly four parts between bars.
+    #[error("a line is not of the form TARGET::TEST | COMMAND AND SEED | SEEN | ISSUE: {line}")]
     Form {
         /// The line as it stands in the list.
         line: String,
     },
     /// A part of a line is empty, or the test is named without its target.
-    #[error("a line lacks the target and test, the cause or the issue: {line}")]
+    #[error("a line lacks the target and test, the command, what was seen or the issue: {line}")]
     MissingPart {
         /// The line as it stands in the list.
         line: String,
@@ -37,13 +37,18 @@
     },
 }
 
-/// A test that is known to fail: a line of the list.
+/// Target of the rules of the soak test in the list, such as `soak::hard ceiling`.
+pub(crate) const SOAK_TARGET: &str = "soak";
+
+/// A test that is known to fail, or a rule of the soak test that is known to be broken: a line of the list.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct KnownFailure {
     /// The test with its target, such as `shutdown::drains_connections`.
     pub test: String,
-    /// The fault that makes the test fail.
-    pub cause: String,
+    /// The command that shows the failure, with its seed.
+    pub command: String,
+    /// What was seen: the failure, and its cause as far as it is known.
+    pub seen: String,
     /// The open issue under which the fault will be fixed.
     pub issue: String,
 }
@@ -51,23 +56,31 @@
 impl KnownFailure {
     fn parse(line: &str) -> Result<Self, ListError> {
         let parts: Vec<&str> = line.split('|').map(str::trim).collect();
-        let [test, cause, issue] = parts[..] else {
+        let [test, command, seen, issue] = parts[..] else {
             return Err(ListError::Form { line: line.to_owned() });
         };
-        if !test.contains("::") || cause.is_empty() || issue.is_empty() {
+        if !test.contains("::") || [command, seen, issue].contains(&"") {
             return Err(ListError::MissingPart { line: line.to_owned() });
         }
-        Ok(Self { test: test.to_owned(), cause: cause.to_owned(), issue: issue.to_owned() })
+        let [test, command, seen, issue] = [test, command, seen, issue].map(str::to_owned);
+        Ok(Self { test, command, seen, issue })
+    }
+
+    /// Whether this is a rule of the soak test, which `cargo test` does not run.
+    pub fn is_of_soak(&self) -> bool {
+        self.test.split_once("::").is_some_and(|(target, _)| target == SOAK_TARGET)
     }
 }
 
 impl fmt::Display for KnownFailure {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "known to fail: {}: {} ({})", self.test, self.cause, self.issue)
+        let Self { test, command, seen, issue } = self;
+        write!(f, "known to fail: {test}: {seen} ({issue}; {command})")
     }
 }
 
-/// Parses a list. Each line that is not blank has the form `TARGET::TEST | CAUSE | ISSUE`.
+/// Parses a list. Each line that is not blank has the form `TARGET::TEST | COMMAND AND SEED | SEEN | ISSUE`. A rule
+/// of the soak test has the target `soak`.
 ///
 /// # Errors
 ///
--- a/crates/known_failures/src/main.rs
+++ b/crates/known_failures/src/main.rs
@@ -1,14 +1,17 @@
-//! `known_failures LIST COMMAND...`: runs a test command, forwards its output, and exits with success if the run has no problem.
-//! A list that does not exist counts as empty.
+//! `known_failures LIST COMMAND...`: runs `cargo test`, forwards its output, and exits with success if the run has no problem.
+//! `known_failures --soak LIST COMMAND...` does the same for `proof-soak`. A list that does not exist counts as empty.
 
-use known_failures::{KnownFailure, ListError, Problem, TestRun, parse_list};
+use known_failures::{KnownFailure, ListError, Problem, SoakRun, TestRun, parse_list};
 use std::io::{self, BufRead, BufReader, ErrorKind, PipeReader, Write};
 use std::process::{Child, Command, ExitCode};
 
+/// The option for a soak run.
+const SOAK_OPTION: &str = "--soak";
+
 /// An error that prevents the verdict on the run.
 #[derive(Debug, thiserror::Error)]
 enum Error {
-    #[error("usage: known_failures LIST COMMAND...")]
+    #[error("usage: known_failures [--soak] LIST COMMAND...")]
     Usage,
     #[error("cannot read {path}: {source}")]
     ReadList { path: String, source: io::Error },
@@ -42,32 +45,38 @@
     Ok((child, output))
 }
 
-/// Forwards the output of the command to stdout, and parses it.
-fn forward_and_parse(output: PipeReader) -> io::Result<TestRun> {
-    let mut run = TestRun::default();
+/// Forwards the output of the command to stdout, and applies each line of it.
+fn forward_and_apply(output: PipeReader, mut apply_line: impl FnMut(&str)) -> io::Result<()> {
     let mut lines = BufReader::new(output);
     let mut line = Vec::new();
     while lines.read_until(b'\n', &mut line)? > 0 {
         // An error of stdout is ignored: it does not change the verdict.
         let _ = io::stdout().write_all(&line);
-        run.apply_line(&String::from_utf8_lossy(&line));
+        apply_line(&String::from_utf8_lossy(&line));
         line.clear();
     }
-    Ok(run)
+    Ok(())
 }
 
 /// Runs the command, prints the known failures, and returns the problems of the run.
 fn find_problems() -> Result<Vec<Problem>, Error> {
-    let mut arguments = std::env::args().skip(1);
+    let mut arguments = std::env::args().skip(1).peekable();
+    let is_soak = arguments.next_if(|argument| argument == SOAK_OPTION).is_some();
     let (Some(list), Some(program)) = (arguments.next(), arguments.next()) else {
         return Err(Error::Usage);
     };
-    let known_failures = read_list(list)?;
+    let mut known_failures = read_list(list)?;
+    known_failures.retain(|known| known.is_of_soak() == is_soak);
     let (mut child, output) = start_command(program, arguments)?;
-    let run = forward_and_parse(output)?;
+    let (mut tests, mut soak) = (TestRun::default(), SoakRun::default());
+    forward_and_apply(output, |line| if is_soak { soak.apply_line(line) } else { tests.apply_line(line) })?;
     let succeeded = child.wait()?.success();
     known_failures.iter().for_each(|known| println!("{known}"));
-    Ok(run.problems(succeeded, &known_failures))
+    Ok(if is_soak {
+        soak.problems(succeeded, &known_failures)
+    } else {
+        tests.problems(succeeded, &known_failures)
+    })
 }
 
 fn main() -> ExitCode {
