--- a/crates/snowfield/src/signals.rs
+++ b/crates/snowfield/src/signals.rs
@@ -82,9 +82,9 @@
     }
 }
 
-/// Waits until the backlog is accepted and all client connections are closed, but not for clients that have their answers and stay connected: with these, the
-/// drain ends when the longest deadline and [`DRAIN_MARGIN`] have passed, and no client has waited for anything for
-/// [`DRAIN_MARGIN`].
+/// Waits until the listener's backlog is accepted and all client connections are closed. Clients may keep their connections open
+/// once they have their answers. The drain then ends when the longest deadline and [`DRAIN_MARGIN`] have passed, and no client
+/// has waited for anything for [`DRAIN_MARGIN`].
 ///
 /// A request may be accepted during the drain, so the time since its start does not tell whether all are answered. The front
 /// bounds the time of each request and answer, and thereby the drain.
