Tests: a link that resets may do so before connect has returned

Cause: the link accepts and resets at once, and if the client's thread wakes late, connect itself reports the reset (ECONNRESET). The test expected the connect to succeed and the exchange after it to fail, which is one of the two orders. It is as strict as before: the attempt has to end with an error and without an echo, and the error must not be ConnectionRefused, so the link does listen.

No program is changed.

--- a/crates/fault_injection/src/network/tests.rs
+++ b/crates/fault_injection/src/network/tests.rs
@@ -81,7 +81,13 @@
     exchange(&mut stream, b"one").expect("an echo");
     network.inject(2, fault(FORWARD, LinkQuality::closed()));
     assert!(exchange(&mut stream, b"five").is_err());
-    assert!(exchange(&mut connect(address), b"six").is_err());
+    // The reset may arrive before the client's `connect` has returned, which then reports it.
+    let outcome = TcpStream::connect(address).and_then(|mut stream| {
+        stream.set_read_timeout(Some(TIMEOUT))?;
+        exchange(&mut stream, b"six")
+    });
+    let error = outcome.expect_err("the connection ends without an echo");
+    assert_ne!(error.kind(), ErrorKind::ConnectionRefused, "the link listens");
 }
 
 #[test]
