--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,138 +1,86 @@
-"""Half of the instances that share periodic duties die at once: does any duty miss more than one period, does any run twice?"""
+"""A planned restart while clients send a command behind another one: does each command on an open connection get its answer?"""
 import asyncio
 import os
-import secrets
-import shutil
+import random
 import signal
-import subprocess
 import sys
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "stand-ins-2"))
 from standins import *  # noqa: E402,F403
-from consul import Consul  # noqa: E402
 
-INSTANCES, DUTIES, PERIOD = 8, 40, 0.5
-SLACK = 0.1
-CALM, AFTER = 6.0, 12.0
+CLIENTS, DEADLINE = 30, 2500
+# The second command follows the first one after this time, long before its answer.
+BEHIND = 0.04
+WORK = (0.08, 0.12)
+# A command that is sent this long before the end of its connection, behind one without an answer, does not cross a close between requests.
+CROSSING = 0.02
+draw = random.Random(59)
 
 
-class Target:
-    """The target of the duties: it records each call and answers 200."""
+async def behave(server, words, writer):
+    await asyncio.sleep(draw.uniform(*WORK))
+    writer.write(served(value_of(words[2])))
 
-    def __init__(self, record):
-        self.record, self.calls = record, []
 
-    async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0, backlog=256)
-        self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
-        return self
-
-    async def serve(self, reader, writer):
-        try:
-            head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
-            fields = {name.lower(): value.strip() for name, _, value in (line.partition(":") for line in head[1:])}
-            call = (fields["snowfield-duty"], int(fields["snowfield-round"]), fields["snowfield-by"], time.time())
-            self.calls.append(call)
-            self.record("run %s round %d by %s" % call[:3])
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
-            await writer.drain()
-        except (ConnectionError, asyncio.IncompleteReadError, KeyError, OSError):
-            pass
-        finally:
-            writer.close()
-
-
-def write_files(site, number, consul, target, gossip):
-    name = f"muscat-{number + 1}"
-    peers = ", ".join(f'"127.0.0.1:{port}"' for n, port in enumerate(gossip) if n != number)
-    # deploy/cluster.toml with other addresses, duties of its own and no health checks.
-    text = f'''listen = "127.0.0.1:{free_port()}"
-descriptions = ["loans.openapi.json"]
-lender_header = "X-Lender"
-[consul]
-address = "{consul.address}"
-service = "loan-server"
-[cluster]
-name = "{name}"
-listen = "127.0.0.1:{gossip[number]}"
-peers = [{peers}]
-key_file = "cluster.key"
-standbys = 2
-[[class]]
-name = "loan-lookup"
-repeat = "safe"
-wanted_ms = 600
-deadline_ms = 2500
-[[class]]
-name = "loan-notice"
-repeat = "unsafe"
-wanted_ms = 1000
-deadline_ms = 4000
-[[plan]]
-name = "basic"
-units_per_second = 2.0
-burst = 16.0
-[[lender]]
-name = "al-noor"
-plan = "basic"
-'''
-    for duty in range(DUTIES):
-        text += f'[[duty]]\nname = "duty-{duty}"\nperiod_ms = {PERIOD * 1000:.0f}\nurl = "http://{target.address}/duty"\n'
-    path = os.path.join(site.directory, f"{name}.toml")
-    with open(path, "w") as file:
-        file.write(text)
-    return name, path
-
-
-def start(site, name, path):
-    log = open(os.path.join(site.directory, f"{name}.log"), "ab")
-    process = subprocess.Popen(["/bin/sh", "-c", f"{run_command()} serve {path}"], cwd=ROOT, stdout=log, stderr=log)
-    site.processes.append(process)
-    return process
+async def client(site, gatekeeper, number, until, breaks, counts):
+    reader, writer = await asyncio.open_connection(*gatekeeper.listen)
+    rounds = 0
+    while time.monotonic() < until:
+        names = [f"{number:04x}{rounds:08x}{place}" for place in "ab"]
+        rounds += 1
+        sent = {}
+        first = None
+        for name in names:
+            if first is not None:
+                await asyncio.sleep(BEHIND)
+            site.record(f"send {name} on connection {number}")
+            writer.write(request(name, DEADLINE, spread=1))
+            sent[name] = time.monotonic()
+            if first is None:
+                first = asyncio.ensure_future(read_reply(reader))
+        for name in names:
+            try:
+                kind, text = await asyncio.wait_for(first if name == names[0] else read_reply(reader), 6)
+            except (asyncio.TimeoutError, asyncio.IncompleteReadError, OSError) as error:
+                ended = time.monotonic()
+                site.record(f"no answer {name}: {type(error).__name__}, {ended - sent[name]:.3f} s after the request")
+                # The first command of a round may cross a close between requests: the client would send it once more.
+                if name == names[1] and ended - sent[name] >= CROSSING:
+                    breaks.append(f"request {name}: its connection ended {ended - sent[name]:.3f} s after it was sent, without its answer; "
+                                  "the command in front of it was answered")
+                return writer.close()
+            counts[kind] = counts.get(kind, 0) + 1
+            site.record(f"answer {name} {kind.decode()}{text.decode()}, {time.monotonic() - sent[name]:.3f} s after the request")
+        await asyncio.sleep(draw.uniform(0.0, 0.05))
+    writer.close()
 
 
 async def play(site):
-    consul, target = await Consul().start(), await Target(site.record).start()
-    shutil.copy(os.path.join(ROOT, "deploy", "loans.openapi.json"), site.directory)
-    key = os.path.join(site.directory, "cluster.key")
-    with open(os.open(key, os.O_CREAT | os.O_WRONLY, 0o600), "w") as file:
-        file.write(secrets.token_hex(32) + "\n")
-    gossip = [free_port() for _ in range(INSTANCES)]
-    instances = [start(site, *write_files(site, number, consul, target, gossip)) for number in range(INSTANCES)]
-    await asyncio.sleep(8)
-    if any(process.poll() is not None for process in instances):
-        raise CannotRun("an instance ended: " + open(os.path.join(site.directory, "muscat-1.log")).read()[-500:])
-    begin = time.time()
-    await asyncio.sleep(CALM)
+    servers = [await LoanServer(f"s-{n}", behave, site.record).start() for n in range(12)]
+    agent = await Agent([server.entry() for server in servers]).start()
+    counter = await Counter().start()
+    gatekeeper = Gatekeeper(site, "n0", agent, counter, settings([read_class(deadline_ms=DEADLINE)], gatekeepers=1)).start()
+    await gatekeeper.ready()
+    await asyncio.sleep(1)
+    breaks, counts = [], {}
+    until = time.monotonic() + 6
+    clients = [asyncio.ensure_future(client(site, gatekeeper, n, until, breaks, counts)) for n in range(CLIENTS)]
+    await asyncio.sleep(1.5)
     if TROUBLE:
-        for number in range(INSTANCES // 2):
-            site.record(f"SIGKILL to muscat-{number + 1}")
-            instances[number].send_signal(signal.SIGKILL)
-    await asyncio.sleep(AFTER)
-    end = time.time()
-    for number, process in enumerate(instances):
-        if process.poll() is not None and not (TROUBLE and number < INSTANCES // 2):
-            raise CannotRun(f"muscat-{number + 1} ended by itself")
-    breaks = []
-    for duty in (f"duty-{number}" for number in range(DUTIES)):
-        rounds = [(round_id, at) for name, round_id, _, at in target.calls if name == duty]
-        for round_id in sorted({r for r, _ in rounds if [x for x, _ in rounds].count(r) > 1}):
-            breaks.append(f"{duty}: round {round_id} was run twice")
-        # The scheduled times without a run: between two that ran, and after the last one, of which the very last may yet come.
-        ran = sorted({round_id for round_id, at in rounds if at >= begin - PERIOD})
-        if not ran:
-            breaks.append(f"{duty}: no run at all")
-            continue
-        gaps = [(one, round((after - one) / 1000 / PERIOD) - 1) for one, after in zip(ran, ran[1:])]
-        gaps.append((ran[-1], int((end - SLACK - ran[-1] / 1000) / PERIOD) - 1))
-        for one, missed in gaps:
-            if missed > 1:
-                breaks.append(f"{duty}: {missed} periods in a row without a run, from round {one + int(PERIOD * 1000)} on")
-    site.record.say(f"{len(target.calls)} runs of {DUTIES} duties")
-    if len(target.calls) < DUTIES * CALM / PERIOD / 2:
-        raise CannotRun("the duties did not run before the trouble")
+        gatekeeper.signal(signal.SIGTERM)
+        # SIGKILL comes after the longest deadline and 0.7 s more.
+        await asyncio.wait(clients, timeout=DEADLINE / 1000 + 0.7)
+        if gatekeeper.process.poll() is None:
+            gatekeeper.signal(signal.SIGKILL)
+        else:
+            site.record(f"the gatekeeper had ended with {gatekeeper.process.returncode}")
+    await asyncio.gather(*clients)
+    site.record.say(f"answers by kind: {counts}")
+    if counts.get(b"$", 0) < 100:
+        raise CannotRun("too few requests were served")
+    site.record(gatekeeper.log())
     return breaks
 
 
