--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,82 +1,94 @@
-"""Good answers with a second copy some milliseconds behind: does each client get the value made for its own request?"""
+"""A periodic duty is taken out of the file and put back in the same period, with a SIGHUP each: does one of its runs happen twice?"""
 import asyncio
 import os
-import random
+import secrets
+import shutil
+import signal
+import subprocess
 import sys
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "stand-ins-2"))
 from standins import *  # noqa: E402,F403
+from consul import Consul  # noqa: E402
 
-SERVERS, CLIENTS, SECONDS = 12, 28, 40
-SOCKETS, MEMORY = 256, 96
-# One in twenty answers is followed by a second copy, this many seconds later.
-SHARE, LATE = 0.05, (0.004, 0.010)
-# One way between a gatekeeper and a loan server in another hall takes 0.7 to 1.3 ms.
-WAY = 0.001
-# The work of a request.
-WORK = (0.096, 0.170)
-draw = random.Random(59)
-copies = 0
+PERIOD, ROUNDS = 10.0, 3
+DUTY = "close-of-day"
 
 
-async def behave(server, words, writer):
-    """Answers a request. Its bytes, and those of the answer, take WAY between the machines."""
-    loop = asyncio.get_running_loop()
-    answer = served(value_of(words[2]))
-    await asyncio.sleep(WAY)
-    writer.busy = True
-    await asyncio.sleep(draw.uniform(*WORK))
-    writer.busy = False
-    if TROUBLE and draw.random() < SHARE:
-        loop.call_later(draw.uniform(*LATE), second_copy, server, words[2], writer, answer)
-    await asyncio.sleep(WAY)
-    writer.write(answer)
+class Target:
+    """The target of the duty: it records each call and answers 200."""
 
+    def __init__(self, record):
+        self.record, self.calls = record, []
 
-def second_copy(server, request_id, writer, answer):
-    """Sends the second copy, but only when nothing else waits on the connection at the loan server."""
-    global copies
-    if not writer.busy and not writer.is_closing():
-        copies += 1
-        server.record(f"second copy of {request_id.decode()} from {server.uid}")
-        asyncio.get_running_loop().call_later(WAY, writer.write, answer)
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
+        return self
 
+    async def serve(self, reader, writer):
+        try:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+            fields = {name.lower(): value.strip() for name, _, value in (line.partition(":") for line in head[1:])}
+            self.calls.append((fields["snowfield-duty"], int(fields["snowfield-round"])))
+            self.record("run %s, round %d" % self.calls[-1])
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+            await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError, KeyError, OSError):
+            pass
+        finally:
+            writer.close()
 
-async def client(site, gatekeeper, number, until, breaks, counts):
-    reader, writer = await asyncio.open_connection(*gatekeeper.listen)
-    serial = 0
-    while time.monotonic() < until:
-        request_id = f"{number:08x}{serial:08x}"
-        serial += 1
-        tenant = 0x1000 + draw.randrange(40)
-        site.record(f"send {request_id}")
-        writer.write(request(request_id, 2500, cls="rate-lookup", tenant=tenant, spread=1))
-        kind, text = await asyncio.wait_for(read_reply(reader), 10)
-        counts[kind] = counts.get(kind, 0) + 1
-        site.record(f"answer {request_id} {kind.decode()}{text[:60].decode(errors='replace')}")
-        if kind == b"$" and text != value_of(request_id.encode()):
-            breaks.append(f"request {request_id} was served with {text[:60]!r}")
-        await asyncio.sleep(draw.expovariate(1 / 0.065))
-    writer.close()
+
+def write_file(path, consul, target, listen, gossip, with_duty):
+    """deploy/cluster.toml with other addresses and a period of 10 s, as the one instance that is up, without health checks."""
+    text = open(os.path.join(ROOT, "deploy", "cluster.toml")).read()
+    probe = text.index("[probe]")
+    duty = text.index("[[duty]]")
+    rest = text.index("[[class]]")
+    block = text[duty:rest].replace("period_ms = 60000", f"period_ms = {PERIOD * 1000:.0f}")
+    block = block.replace("http://127.0.0.1:9000", f"http://{target.address}")
+    text = text[:probe] + (block if with_duty else "") + text[rest:]
+    text = text.replace("127.0.0.1:8080", f"127.0.0.1:{listen}").replace('status = "127.0.0.1:8081"\n', "")
+    text = text.replace("127.0.0.1:8500", consul.address).replace("127.0.0.1:7946", f"127.0.0.1:{gossip[0]}")
+    text = text.replace("127.0.0.1:7947", f"127.0.0.1:{gossip[1]}").replace("127.0.0.1:7948", f"127.0.0.1:{gossip[2]}")
+    with open(path + ".new", "w") as file:
+        file.write(text)
+    os.rename(path + ".new", path)
 
 
 async def play(site):
-    servers = [await LoanServer(f"s-{n}", behave, site.record).start() for n in range(SERVERS)]
-    agent = await Agent([server.entry() for server in servers]).start()
-    counter = await Counter().start()
-    gatekeeper = Gatekeeper(site, "n0", agent, counter, settings([read_class("rate-lookup", 3000, 1200)], gatekeepers=1), sockets=SOCKETS,
-                            memory_mb=MEMORY).start()
-    await gatekeeper.ready()
-    await asyncio.sleep(1)
-    breaks, counts = [], {}
-    until = time.monotonic() + SECONDS
-    await asyncio.gather(*(client(site, gatekeeper, n, until, breaks, counts) for n in range(CLIENTS)))
-    site.record.say(f"answers by kind: {counts}, second copies: {copies}, connections: {sum(s.connections for s in servers)}")
-    if counts.get(b"$", 0) < 1000 or TROUBLE and copies < 20:
-        raise CannotRun("too few requests were served, or too few second copies were sent")
-    return breaks
+    consul, target = await Consul().start(), await Target(site.record).start()
+    shutil.copy(os.path.join(ROOT, "deploy", "loans.openapi.json"), site.directory)
+    with open(os.open(os.path.join(site.directory, "cluster.key"), os.O_CREAT | os.O_WRONLY, 0o600), "w") as file:
+        file.write(secrets.token_hex(32) + "\n")
+    listen, gossip = free_port(), [free_port() for _ in range(3)]
+    path = os.path.join(site.directory, "cluster.toml")
+    write_file(path, consul, target, listen, gossip, True)
+    log = open(os.path.join(site.directory, "appliance.log"), "ab")
+    process = subprocess.Popen(["/bin/sh", "-c", f"{run_command()} serve {path}"], cwd=ROOT, stdout=log, stderr=log)
+    site.processes.append(process)
+    for _ in range(ROUNDS):
+        before = len(target.calls)
+        until = time.monotonic() + 2.5 * PERIOD
+        while len(target.calls) == before:
+            if time.monotonic() > until or process.poll() is not None:
+                raise CannotRun("the duty does not run: " + open(os.path.join(site.directory, "appliance.log")).read()[-800:])
+            await asyncio.sleep(0.05)
+        # Half a second after a run the duty is taken out, and half a second later it is put back.
+        for with_duty in (not TROUBLE, True):
+            await asyncio.sleep(0.5)
+            write_file(path, consul, target, listen, gossip, with_duty)
+            site.record(f"SIGHUP, the file {'has' if with_duty else 'lacks'} the duty")
+            process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(1.5)
+    rounds = [round_id for _, round_id in target.calls]
+    site.record(open(os.path.join(site.directory, "appliance.log")).read())
+    site.record.say(f"{len(rounds)} runs of {len(set(rounds))} rounds")
+    return [f"round {round_id} of {DUTY} was run {rounds.count(round_id)} times" for round_id in sorted(set(rounds))
+            if rounds.count(round_id) > 1]
 
 
 run_case(FOLDER, play)
