At a shutdown, a request that comes too late for a streamed value fails at once

Cause: after SIGTERM the front accepts requests until 0.75 s before the earliest SIGKILL and limits their deadlines. A deadline ends with the first bytes of a streamed value, and nothing limits the stream.

Change: a request that is submitted more than 0.55 s after SIGTERM gets no streamed answer. If its backend begins one, the request fails, its attempt is cancelled, and the overlap ends as it does while a value is streamed. What SIGKILL cuts off is then from requests of the first 0.7 s. Requests for small values are served as before.

Failed before: large_values at_shutdown_a_late_request_for_a_value_that_takes_seconds_gets_an_error (the client read the value's first bytes).

--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -5,13 +5,13 @@
 use crate::ports::{Backends, QuotaCounter};
 use crate::request::{Admission, AttemptEnd, AttemptId, Reply, Request, StreamEnd};
 use crate::request_table::{AdmissionListener, RequestTable};
+use crate::shutdown::ShutdownBounds;
 use crate::side_effect::SideEffect;
 use policy::{
     BackendEntry, BackendId, Event, FleetSummary, ListKind, Micros, Outcome, PolicySnapshot, RequestId,
     Settings, SettingsError, Timestamp,
 };
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
-use std::time::Duration;
 
 /// Connects the client side with the backend side: accepts requests from fronts, and has attempts sent to backends as the policy
 /// decides.
@@ -76,10 +76,9 @@
         id
     }
 
-    /// Prepares a graceful shutdown: each request that is submitted from now on gets its final answer within `time` of this call,
-    /// even if its own deadline is later.
-    pub fn answer_all_within(&self, time: Duration) {
-        self.change_table(|table, now| table.set_latest_deadline(now + time.as_micros() as Micros));
+    /// Starts a graceful shutdown: these bounds apply to the requests that are submitted from now on.
+    pub fn start_shutdown(&self, bounds: ShutdownBounds) {
+        self.change_table(|table, now| table.start_shutdown(now, bounds));
     }
 
     /// The number of streamed answers that have begun and not ended.
@@ -87,6 +86,11 @@
         self.lock().open_streams()
     }
 
+    /// The number of requests that failed because their answer would have been streamed too late in a shutdown.
+    pub fn refused_streams(&self) -> usize {
+        self.lock().refused_streams()
+    }
+
     /// Reports that the client of a request has disconnected. The request needs no answer, and its attempts are cancelled.
     pub fn client_gone(&self, id: RequestId) {
         if seeded_faults::is_active("gone") {
--- a/crates/exchange/src/in_flight.rs
+++ b/crates/exchange/src/in_flight.rs
@@ -31,6 +31,8 @@
     pub(crate) service: u16,
     pub(crate) attempts: Vec<InFlightAttempt>,
     pub(crate) last_outcome: Option<Outcome>,
+    /// Whether the answer may be streamed. Otherwise the request fails if its answer is too large to be buffered.
+    pub(crate) may_stream: bool,
     /// Whether the answer has begun and continues. The request is then counted in its class when the stream ends.
     pub(crate) is_streaming: bool,
 }
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -12,6 +12,7 @@
 //! | `exchange` | the calls for fronts and for the backend side, and the order in which side effects are performed |
 //! | `request_table` | the state that the exchange's lock protects |
 //! | `in_flight` | a request in the table, and its attempts |
+//! | `shutdown` | what a graceful shutdown changes for later requests |
 //! | `side_effect` | the queue of actions that the table asks the exchange to perform |
 //! | `timers` | the queue of timers, and the wake-ups of the timer thread |
 //! | `fleet_clock` | the estimate of the clock offset from the fleet's clock |
@@ -29,6 +30,7 @@
 mod ports;
 mod request;
 mod request_table;
+mod shutdown;
 mod side_effect;
 mod stream;
 mod timers;
@@ -41,6 +43,7 @@
 pub use crate::request::{
     Admission, Attempt, AttemptEnd, AttemptId, FailureReason, FinalAnswer, Reply, Request, StreamEnd,
 };
+pub use crate::shutdown::ShutdownBounds;
 pub use crate::stream::{
     AnswerBody, Notify, ReadResult, StreamBudget, StreamReader, StreamWriter, open_stream,
 };
--- a/crates/exchange/src/request_table.rs
+++ b/crates/exchange/src/request_table.rs
@@ -23,6 +23,7 @@
 use crate::counts::{AnswerKind, OutcomeCounts, Status};
 use crate::in_flight::InFlightRequest;
 use crate::request::{Admission, AttemptId, Reply, Request};
+use crate::shutdown::{ShutdownBounds, StartedShutdown};
 use crate::side_effect::{SideEffect, SideEffects};
 use crate::timers::{Timer, Timers};
 use backends::KnownBackends;
@@ -52,8 +53,8 @@
     /// The number of the service that serves each class, indexed by the number of the class.
     class_services: Vec<u16>,
     repeat_rules: RepeatRules,
-    /// Upper limit of the deadlines of requests submitted from now on; [`Timestamp::MAX`] unless the process is shutting down.
-    latest_deadline: Timestamp,
+    /// The graceful shutdown that has started; `None` while the process serves normally.
+    shutdown: Option<StartedShutdown>,
     backends: KnownBackends,
     streams: OpenStreams,
     counter_calls: CounterCalls,
@@ -75,7 +76,7 @@
             max_attempts: settings.max_attempts as usize,
             class_services: services_of(&settings.classes),
             repeat_rules: RepeatRules::of_classes(&settings.classes),
-            latest_deadline: Timestamp::MAX,
+            shutdown: None,
             backends: KnownBackends::default(),
             streams: OpenStreams::default(),
             counter_calls: CounterCalls::new(settings.counter_timeout),
@@ -107,7 +108,8 @@
     pub(crate) fn submit(&mut self, now: Timestamp, request: Request<Q>, reply: Reply<A>) -> RequestId {
         let id = self.unused_id();
         let Request { class, plan, tenant, tenant_gatekeepers, units, client_retry, .. } = request;
-        let deadline = now.saturating_add(request.time_left).min(self.latest_deadline);
+        let own_deadline = now.saturating_add(request.time_left);
+        let deadline = self.shutdown.map_or(own_deadline, |shutdown| shutdown.limit_deadline(own_deadline));
         let time_left = deadline.saturating_since(now);
         let in_flight = InFlightRequest {
             payload: Arc::new(request.payload),
@@ -119,6 +121,7 @@
             service: self.class_services.get(usize::from(class)).copied().unwrap_or(0),
             attempts: Vec::new(),
             last_outcome: None,
+            may_stream: self.shutdown.is_none_or(|shutdown| shutdown.allows_stream(now)),
             is_streaming: false,
         };
         self.statistics.request_submitted();
@@ -140,9 +143,9 @@
         id
     }
 
-    /// Limits the deadlines of the requests that are submitted from now on.
-    pub(crate) fn set_latest_deadline(&mut self, deadline: Timestamp) {
-        self.latest_deadline = deadline;
+    /// Applies the bounds of a graceful shutdown to the requests that are submitted from now on.
+    pub(crate) fn start_shutdown(&mut self, now: Timestamp, bounds: ShutdownBounds) {
+        self.shutdown = Some(StartedShutdown::new(now, bounds));
     }
 
     /// Passes an event to the policy and applies the resulting actions, and repeats this for the events that the actions queue.
--- a/crates/exchange/src/request_table/attempts.rs
+++ b/crates/exchange/src/request_table/attempts.rs
@@ -2,7 +2,7 @@
 
 use super::RequestTable;
 use crate::in_flight::InFlightAttempt;
-use crate::request::{Attempt, AttemptEnd, AttemptId, FinalAnswer, StreamEnd};
+use crate::request::{Attempt, AttemptEnd, AttemptId, FailureReason, FinalAnswer, StreamEnd};
 use crate::side_effect::SideEffect;
 use crate::timers::Timer;
 use policy::{BackendId, Event, Micros, Outcome, RequestId, Timestamp};
@@ -100,21 +100,26 @@
             return;
         }
         if let Some(answer) = end.answer.filter(|_| end.outcome == Outcome::Ok) {
-            if end.is_streaming {
-                self.stream_started(id);
-            }
-            self.answer(id.request, FinalAnswer::Served(answer));
+            let final_answer =
+                if end.is_streaming { self.start_stream(id, answer) } else { FinalAnswer::Served(answer) };
+            self.answer(id.request, final_answer);
         }
         self.run_events(now);
         self.remove_if_ended(id.request);
     }
 
-    fn stream_started(&mut self, id: AttemptId) {
+    /// Records that the answer of a request has begun to stream, and returns the final answer. The request fails if a shutdown
+    /// leaves no time to stream; dropping `answer` then cancels the stream.
+    fn start_stream(&mut self, id: AttemptId, answer: A) -> FinalAnswer<A> {
         let request = self.requests.get_mut(&id.request).filter(|request| !request.is_over());
-        if let Some(request) = request {
-            request.is_streaming = true;
-            self.streams.open(id, request.class);
+        let Some(request) = request else { return FinalAnswer::Served(answer) };
+        if !request.may_stream {
+            self.streams.count_refused();
+            return FinalAnswer::Failed(FailureReason::DeadlineExceeded);
         }
+        request.is_streaming = true;
+        self.streams.open(id, request.class);
+        FinalAnswer::Served(answer)
     }
 
     /// Counts a streamed answer in the class of its request when the stream ends.
@@ -127,4 +132,8 @@
     pub(crate) fn open_streams(&self) -> usize {
         self.streams.count()
     }
+
+    pub(crate) fn refused_streams(&self) -> usize {
+        self.streams.refused_count()
+    }
 }
--- a/crates/exchange/src/request_table/streams.rs
+++ b/crates/exchange/src/request_table/streams.rs
@@ -7,6 +7,8 @@
 #[derive(Debug, Default)]
 pub(super) struct OpenStreams {
     class_by_attempt: HashMap<AttemptId, u16>,
+    /// Number of streams that were refused because they began too late in a shutdown.
+    refused_count: usize,
 }
 
 impl OpenStreams {
@@ -22,4 +24,12 @@
     pub(super) fn count(&self) -> usize {
         self.class_by_attempt.len()
     }
+
+    pub(super) fn count_refused(&mut self) {
+        self.refused_count += 1;
+    }
+
+    pub(super) fn refused_count(&self) -> usize {
+        self.refused_count
+    }
 }
--- a/crates/exchange/src/request_table/tests.rs
+++ b/crates/exchange/src/request_table/tests.rs
@@ -5,6 +5,7 @@
 use policy::{BackendId, Micros, Plan, TenantId};
 use std::collections::BTreeMap;
 use std::sync::mpsc::{Receiver, channel};
+use std::time::Duration;
 
 const MS: Micros = 1000;
 const START: Timestamp = Timestamp::from_micros(1_000_000_000);
@@ -247,3 +248,25 @@
     perform_side_effects(&mut table);
     assert!(answers.try_iter().any(|answer| answer.contains("NoBackend")));
 }
+
+/// Regression: a value whose request came late in a shutdown was streamed until SIGKILL cut it off.
+#[test]
+fn a_request_that_comes_too_late_in_a_shutdown_for_a_streamed_answer_fails() {
+    let mut table = table(&[1]);
+    let bounds = ShutdownBounds {
+        answers_within: Duration::from_millis(3_050),
+        streams_submitted_within: Duration::from_millis(550),
+    };
+    table.start_shutdown(START, bounds);
+    let streamed = || AttemptEnd { is_streaming: true, ..served("a large value") };
+    let mut answer_of_request_at = |submitted_at| {
+        let (id, answers) = submit(&mut table, submitted_at);
+        table.attempt_ended(submitted_at + MS, attempt(id, 0), streamed());
+        perform_side_effects(&mut table);
+        (answers.try_recv().expect("a final answer"), table.open_streams(), table.refused_streams())
+    };
+    let (early, open, refused) = answer_of_request_at(START + 550 * MS);
+    assert_eq!((early.as_str(), open, refused), (r#"Served("a large value")"#, 1, 0));
+    let (late, open, refused) = answer_of_request_at(START + 551 * MS);
+    assert_eq!((late.as_str(), open, refused), ("Failed(DeadlineExceeded)", 1, 1));
+}
--- a/crates/snowfield/src/platform.rs
+++ b/crates/snowfield/src/platform.rs
@@ -9,7 +9,7 @@
 
 use crate::error::Error;
 use crate::{log, signals};
-use exchange::PendingConnections;
+use exchange::{PendingConnections, ShutdownBounds};
 use running::Running;
 use settings::appliance::LogFormat;
 use std::net::SocketAddr;
@@ -28,6 +28,9 @@
 const KILL_MARGIN: Duration = Duration::from_millis(700);
 /// Time before SIGKILL at which all accepted requests must be answered, since a busy worker may be late.
 const ANSWER_MARGIN: Duration = Duration::from_millis(150);
+/// Time after SIGTERM in which a request may still get a streamed answer. What SIGKILL cuts off of an answer is excused only if
+/// its request arrived within [`KILL_MARGIN`] of SIGTERM, and the signal may be handled [`ANSWER_MARGIN`] late.
+const STREAM_SUBMISSION_TIME: Duration = Duration::from_millis(550);
 /// Time before the last answer at which the front stops accepting requests. Most requests are served within this time.
 const LAST_ACCEPT_MARGIN: Duration = Duration::from_millis(600);
 
@@ -85,13 +88,19 @@
         }
         let earliest_kill = self.longest_deadline().min(MAX_COUNTED_DEADLINE) + KILL_MARGIN;
         let answered_within = earliest_kill.saturating_sub(ANSWER_MARGIN);
-        self.running.exchange.answer_all_within(answered_within);
+        self.running.exchange.start_shutdown(ShutdownBounds {
+            answers_within: answered_within,
+            streams_submitted_within: STREAM_SUBMISSION_TIME,
+        });
         answered_within.saturating_sub(LAST_ACCEPT_MARGIN).max(signals::MIN_OVERLAP)
     }
 
-    /// The overlap also ends while a value is streamed, since the client may take seconds to read the value.
+    /// The overlap also ends once a value is streamed, since the client may take seconds to read the value, or would have been
+    /// streamed: requests of this kind are better served by another gatekeeper.
     fn must_end_overlap(&self) -> bool {
-        self.running.hot_restart.has_handed_over() || self.running.exchange.open_streams() > 0
+        let exchange = &self.running.exchange;
+        let has_large_values = exchange.open_streams() > 0 || exchange.refused_streams() > 0;
+        self.running.hot_restart.has_handed_over() || has_large_values
     }
 
     fn close_connections(&self) {
--- a/crates/snowfield/tests/large_values.rs
+++ b/crates/snowfield/tests/large_values.rs
@@ -7,6 +7,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::mpsc::channel;
+use std::time::{Duration, Instant};
 
 /// A value of this length, in which no two adjacent bytes are equal.
 fn large_value(bytes: usize) -> Vec<u8> {
@@ -106,7 +107,7 @@
     client.reader.read_exact(&mut [0; 9]).expect("the value begins to arrive");
     site.program.terminate();
     // The overlap ends 0.5 s after the signal, as a value is arriving. Then the longest deadline and the margin take 0.9 s.
-    std::thread::sleep(std::time::Duration::from_millis(2_200));
+    std::thread::sleep(Duration::from_millis(2_200));
     release.send(()).expect("the stand-in waits for the release");
     let mut value = vec![0; 300_000];
     client.reader.read_exact(&mut value).expect("the whole value arrives");
@@ -115,6 +116,36 @@
     assert_eq!(site.program.wait(), Some(0));
 }
 
+/// Regression: a request that came late in a shutdown got the first bytes of a value that takes seconds, and SIGKILL cut off the
+/// rest. It must get a final answer instead, and the clients must be sent to other gatekeepers.
+#[test]
+fn at_shutdown_a_late_request_for_a_value_that_takes_seconds_gets_an_error() {
+    let address = start_backend_writing(move |words, writer| {
+        if words[2] == request_id(1) {
+            return writer.write_all(&reply_with_value(words[2].as_bytes(), REPLY_TAIL));
+        }
+        let reply = reply_with_value(&large_value(300_000), REPLY_TAIL);
+        writer.write_all(&reply[..150_000])?;
+        // SIGKILL comes no sooner than 3.2 s after SIGTERM.
+        std::thread::sleep(Duration::from_millis(3_200));
+        writer.write_all(&reply[150_000..])
+    });
+    let mut site = start_site("late-large", &SiteOptions { backends: &[address], ..SiteOptions::default() });
+    let mut clients = [Client::connect(site.listen), Client::connect(site.listen)];
+    site.program.terminate();
+    site.program.wait_for_log("graceful shutdown started signal=15");
+    let started = Instant::now();
+    // Requests that come more than 0.7 s after SIGTERM must be answered before SIGKILL.
+    std::thread::sleep(Duration::from_millis(900));
+    clients[0].send(&query_of_new_tenant(1));
+    assert_eq!(clients[0].read_reply(), request_id(1), "a small value is served");
+    clients[1].send(&query_of_new_tenant(2));
+    assert_eq!(clients[1].read_reply(), "-ERR failed");
+    assert!(clients.iter_mut().all(Client::is_closed));
+    assert_eq!(site.program.wait(), Some(0));
+    assert!(started.elapsed() < Duration::from_millis(3_200), "{:?}", started.elapsed());
+}
+
 /// A large value whose client does not read takes the memory of one window, and other clients are served meanwhile.
 #[test]
 fn clients_that_do_not_read_take_little_memory_and_do_not_delay_others() {
