--- a/crates/front_resp/tests/connections.rs
+++ b/crates/front_resp/tests/connections.rs
@@ -1,41 +1,68 @@
 //! The answers and closes that clients get from a front, on real sockets.
 
-use exchange::{Clock, Exchange};
+use exchange::{
+    AnswerBody, Attempt, AttemptEnd, AttemptId, BackendId, Backends, Clock, Exchange, StreamBudget,
+    StreamWriter, open_stream,
+};
 use front_resp::{ClassRule, Front, PlanRule, RequestRules, RespExchange};
 use link::{Connection, Listener};
-use policy::{Plan, RequestClass, Settings};
+use policy::{BackendEntry, ListKind, Micros, Outcome, Plan, RequestClass, Settings};
+use resp::RequestCommand;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::{Arc, mpsc};
+use std::sync::{Arc, Mutex, mpsc};
 use std::time::{Duration, Instant};
 
 const MEMORY_BYTES: usize = 64 << 20;
 const SWEEP_INTERVAL: Duration = Duration::from_millis(100);
 /// Time limit for an expected answer or close.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Deadline of the class, longer than any test waits.
+const REQUEST_TIMEOUT: Micros = 20_000_000;
+/// Time without progress after which a stream counts as blocked by its client.
+const BLOCKED_TIME: Duration = Duration::from_millis(300);
 /// Time limit of the protocol for the error to a command that is never complete.
 const INCOMPLETE_COMMAND_LIMIT: Duration = Duration::from_secs(3);
 
 const PING: &[u8] = b"*1\r\n$4\r\nPING\r\n";
 const PONG: &[u8] = b"+PONG\r\n";
 
-/// A front that serves on loopback, without any backend.
+/// A front that serves on loopback.
 struct Fixture {
+    exchange: Arc<RespExchange>,
     front: Arc<Front>,
     listener: Arc<Listener>,
     address: SocketAddr,
 }
 
+/// A backend side whose attempts the test answers.
+struct AttemptRecorder(Mutex<mpsc::Sender<AttemptId>>);
+
+impl Backends<RequestCommand> for AttemptRecorder {
+    fn start(&self, attempt: Attempt<RequestCommand>) {
+        let sender = self.0.lock().expect("the lock is not poisoned");
+        sender.send(attempt.id).expect("the test receives the attempt");
+    }
+
+    fn cancel(&self, _: AttemptId) {}
+
+    fn cancel_unwritten(&self, _: AttemptId) {}
+
+    fn expire_unwritten(&self, _: AttemptId) {}
+}
+
 impl Fixture {
+    /// Starts a front without any backend.
     fn start(max_connections: usize) -> Self {
         link::set_up();
+        let class = RequestClass { deadline: REQUEST_TIMEOUT, ..RequestClass::default() };
         let settings = Settings {
-            classes: vec![RequestClass::default()],
-            plans: vec![Plan::default()],
+            classes: vec![class],
+            plans: vec![Plan { rate: 100.0, burst: 100.0, ..Plan::default() }],
             ..Settings::default()
         };
         let exchange: Arc<RespExchange> = Exchange::new(settings, 1, Clock::start()).expect("valid settings");
-        let front = Front::new(exchange, rules(), MEMORY_BYTES, move || max_connections);
+        let front = Front::new(exchange.clone(), rules(), MEMORY_BYTES, move || max_connections);
         front.set_ready();
         let listener = Listener::bind("127.0.0.1:0".parse().expect("a valid address")).expect("a free port");
         let listener = Arc::new(listener);
@@ -49,7 +76,31 @@
                 std::thread::sleep(SWEEP_INTERVAL);
             }
         });
-        Self { front, listener, address }
+        Self { exchange, front, listener, address }
+    }
+
+    /// Starts a front with one backend, whose attempts the receiver gets.
+    fn start_with_backend() -> (Self, mpsc::Receiver<AttemptId>) {
+        let fixture = Self::start(8);
+        let (sender, attempts) = mpsc::channel();
+        fixture.exchange.connect(Arc::new(AttemptRecorder(Mutex::new(sender))), None);
+        let entry = BackendEntry { id: BackendId(1), ..BackendEntry::default() };
+        fixture.exchange.update_endpoints(ListKind::Full, vec![entry]);
+        (fixture, attempts)
+    }
+
+    /// Answers an attempt with these bytes.
+    fn answer(&self, attempt: AttemptId, answer: AnswerBody) {
+        let is_streaming = matches!(answer, AnswerBody::Stream(_));
+        let end = AttemptEnd { outcome: Outcome::Ok, answer: Some(answer), load: Vec::new(), is_streaming };
+        self.exchange.attempt_ended(attempt, end);
+    }
+
+    /// Answers an attempt with a stream, and returns its writing end.
+    fn answer_with_stream(&self, attempt: AttemptId) -> StreamWriter {
+        let (writer, reader) = open_stream(&StreamBudget::new(1 << 20), Box::new(|| {}));
+        self.answer(attempt, AnswerBody::Stream(reader));
+        writer
     }
 
     fn connect(&self) -> TcpStream {
@@ -69,7 +120,12 @@
 
 fn rules() -> RequestRules {
     RequestRules {
-        classes: vec![ClassRule { name: "lookup".into(), number: 0, is_idempotent: true, deadline_ms: 2500 }],
+        classes: vec![ClassRule {
+            name: "lookup".into(),
+            number: 0,
+            is_idempotent: true,
+            deadline_ms: 20_000,
+        }],
         plans: vec![PlanRule { name: "team".into(), number: 0 }],
         gatekeeper_count: 1,
         max_units: None,
@@ -207,3 +263,48 @@
     waiting.write_all(PING).expect("the connection is open");
     assert_eq!(read_bytes(&mut waiting, PONG.len()), PONG);
 }
+
+/// A request with this id.
+fn query(id: &str) -> Vec<u8> {
+    command(&["SVC.QUERY", "00000000b4d65521", id, "c=lookup,t=team,d=20000,units=1"])
+}
+
+/// Regression: the end of a streamed answer that was complete before its turn came stayed in the front until the client sent
+/// something or closed its connection.
+#[test]
+fn a_streamed_answer_behind_another_command_is_sent_to_its_end() {
+    const STREAM_BYTES: usize = 60_000;
+    let (fixture, attempts) = Fixture::start_with_backend();
+    let mut client = fixture.connect();
+    client.write_all(&[query("1"), query("2")].concat()).expect("the connection is open");
+    let [first, second] = [(); 2].map(|()| attempts.recv_timeout(ANSWER_TIMEOUT).expect("an attempt"));
+    let writer = fixture.answer_with_stream(second);
+    writer.write(&[b'x'; STREAM_BYTES]);
+    writer.finish();
+    fixture.answer(first, AnswerBody::Complete(PONG.to_vec()));
+    assert_eq!(read_bytes(&mut client, PONG.len()), PONG);
+    assert!(read_bytes(&mut client, STREAM_BYTES) == [b'x'; STREAM_BYTES]);
+}
+
+/// Regression: the same for an answer whose end arrived while the client's socket was full.
+#[test]
+fn a_streamed_answer_is_sent_to_its_end_when_a_slow_client_reads_again() {
+    let (fixture, attempts) = Fixture::start_with_backend();
+    let mut client = fixture.connect();
+    client.write_all(&query("1")).expect("the connection is open");
+    let writer =
+        fixture.answer_with_stream(attempts.recv_timeout(ANSWER_TIMEOUT).expect("the request is forwarded"));
+    let (mut written, mut last_progress) = (0, Instant::now());
+    while last_progress.elapsed() < BLOCKED_TIME {
+        match writer.capacity() {
+            0 => std::thread::sleep(Duration::from_millis(1)),
+            capacity => {
+                writer.write(&vec![b'x'; capacity]);
+                written += capacity;
+                last_progress = Instant::now();
+            }
+        }
+    }
+    writer.finish();
+    assert!(read_bytes(&mut client, written) == vec![b'x'; written]);
+}
