destination: a streamed answer is complete if its backend closes right behind it

Cause: after it had copied the last bytes of the value, copy_value waited for more although the rest of the answer was in its buffer. If the end of stream had come with it, the wait ended the answer as broken.

Change: what has arrived behind the value is parsed before the wait.

Failed before: pools a_large_answer_of_a_backend_that_closes_right_behind_it_is_complete (100,009 of 100,011 bytes, Broken) and large_values a_large_value_whose_backend_closes_right_behind_it_is_forwarded_completely.

--- a/crates/destination/src/streaming.rs
+++ b/crates/destination/src/streaming.rs
@@ -72,7 +72,10 @@
                     remaining -= count;
                     last_progress = Instant::now();
                 }
-            } else {
+            }
+            // The items after the value may have arrived together with its last bytes. They are parsed before the wait, which
+            // ends the stream if the backend has closed the connection behind them.
+            if remaining == 0 {
                 match self.protocol.parse_tail(streamed.trailing_items, buffer) {
                     Ok(Some(tail)) => {
                         writer.write(tail.forwarded);
--- a/crates/destination/tests/pools.rs
+++ b/crates/destination/tests/pools.rs
@@ -2,7 +2,8 @@
 
 use destination::{BackendEndpoint, BackendPools, Limits, RespProtocol};
 use exchange::{
-    AnswerBody, Clock, Exchange, FailureReason, FinalAnswer, ReadResult, Request, RequestId, TenantId,
+    AnswerBody, Clock, Exchange, FailureReason, FinalAnswer, ReadResult, Request, RequestId, StreamReader,
+    TenantId,
 };
 use policy::{
     BackendEntry, BackendId, BackendState, ListKind, Micros, Plan, RequestClass, Settings, Timestamp,
@@ -263,20 +264,57 @@
     let FinalAnswer::Served(AnswerBody::Stream(reader)) = request.answer() else {
         panic!("the answer is not streamed")
     };
+    let (received, end) = read_to_end(&reader);
+    let expected = [format!("${VALUE_BYTES}\r\n").as_bytes(), &vec![b'x'; VALUE_BYTES], b"\r\n"].concat();
+    assert_eq!((received.len(), end), (expected.len(), ReadResult::End));
+    assert!(received == expected, "the streamed bytes differ from the answer");
+    let _connection = backend.join().expect("the backend thread did not panic");
+    wait_until(|| gatekeeper.exchange.open_streams() == 0);
+}
+
+/// Regression: if the backend closed the connection right behind a large answer, the client got the value without its last line
+/// end, and its connection was closed.
+#[test]
+fn a_large_answer_of_a_backend_that_closes_right_behind_it_is_complete() {
+    const VALUE_BYTES: usize = 100_000;
+    let (listener, address) = listen();
+    let gatekeeper = Gatekeeper::new(address);
+    let head = format!("*2\r\n${VALUE_BYTES}\r\n");
+    let answer = [head.as_bytes(), &vec![b'x'; VALUE_BYTES], b"\r\n$-1\r\n"].concat();
+    // The end of stream may arrive with any of the last bytes.
+    for separate_bytes in [0, 1, 6, 7, 8, 20_000] {
+        let request = gatekeeper.submit();
+        let mut connection = accept(&listener);
+        read_request(&mut connection);
+        let (first, last) = answer.split_at(answer.len() - separate_bytes);
+        connection.write_all(first).expect("the connection is open");
+        thread::sleep(REUSE_DELAY);
+        connection.write_all(last).expect("the connection is open");
+        drop(connection);
+        let FinalAnswer::Served(AnswerBody::Stream(reader)) = request.answer() else {
+            panic!("the answer is not streamed")
+        };
+        let (received_bytes, end) = read_to_end(&reader);
+        let expected = [format!("${VALUE_BYTES}\r\n").as_bytes(), &vec![b'x'; VALUE_BYTES], b"\r\n"].concat();
+        assert_eq!(
+            (received_bytes.len(), end),
+            (expected.len(), ReadResult::End),
+            "the last {separate_bytes} bytes were sent by themselves"
+        );
+        assert!(received_bytes == expected, "the streamed bytes differ from the answer");
+    }
+}
+
+/// Reads a stream to its end. Returns the bytes, and how the stream ended.
+fn read_to_end(reader: &StreamReader) -> (Vec<u8>, ReadResult) {
     let mut received = Vec::new();
     let started_at = Instant::now();
     loop {
         match reader.read(10_000) {
             ReadResult::Bytes(bytes) => received.extend(bytes),
             ReadResult::Pending => thread::sleep(Duration::from_millis(1)),
-            ReadResult::End => break,
-            ReadResult::Broken => panic!("the stream broke after {} bytes", received.len()),
+            end => return (received, end),
         }
         assert!(started_at.elapsed() < TIMEOUT, "only {} bytes arrived in time", received.len());
     }
-    let expected = [format!("${VALUE_BYTES}\r\n").as_bytes(), &vec![b'x'; VALUE_BYTES], b"\r\n"].concat();
-    assert_eq!(received.len(), expected.len());
-    assert!(received == expected, "the streamed bytes differ from the answer");
-    let _connection = backend.join().expect("the backend thread did not panic");
-    wait_until(|| gatekeeper.exchange.open_streams() == 0);
 }
--- a/crates/snowfield/tests/large_values.rs
+++ b/crates/snowfield/tests/large_values.rs
@@ -146,6 +146,28 @@
     assert!(started.elapsed() < Duration::from_millis(3_200), "{:?}", started.elapsed());
 }
 
+/// Regression: a value whose backend closed the connection right behind it was forwarded without its last two bytes.
+#[test]
+fn a_large_value_whose_backend_closes_right_behind_it_is_forwarded_completely() {
+    let value = large_value(100_000);
+    let reply = reply_with_value(&value, REPLY_TAIL);
+    let address = start_backend_writing(move |_, writer| {
+        writer.write_all(&reply)?;
+        Err(std::io::ErrorKind::Other.into())
+    });
+    let options = SiteOptions { backends: &[address], ..SiteOptions::default() };
+    let site = start_site("closed-behind", &options);
+    let mut client = Client::connect(site.listen);
+    for number in 1..=10 {
+        client.send(&query_of_new_tenant(number));
+        assert_eq!(
+            read_bulk_string(&mut client).expect("the whole value arrives"),
+            value,
+            "request {number}"
+        );
+    }
+}
+
 /// A large value whose client does not read takes the memory of one window, and other clients are served meanwhile.
 #[test]
 fn clients_that_do_not_read_take_little_memory_and_do_not_delay_others() {
