periodic_jobs: a job that is removed and added again does not repeat its run

Cause: the scheduler drops a removed job with the run that it started last. The stored lease still has this instance's lease id, so the new state took the run for one whose write was applied and whose response was lost, and started it.

Change: a lease counts as recovered only if this state of the job has requested the run; otherwise the run is settled. It needs no memory of removed jobs. A job that is removed with its write outstanding and added again in the same period misses this run.

Failed before: scheduler a_job_that_is_removed_and_added_again_repeats_no_run.

--- a/crates/periodic_jobs/src/scheduler/attempt.rs
+++ b/crates/periodic_jobs/src/scheduler/attempt.rs
@@ -103,6 +103,11 @@
             return;
         }
         match decide(state.cached_lease.as_ref(), &request) {
+            // The job was removed and added again, so it has a new state. The run was acquired for the previous state, which
+            // may have started it.
+            Decision::AlreadyHeld if state.last_requested_run != request.run => {
+                self.accept_settled_run(job_index, now, last_run_changed, actions)
+            }
             Decision::Settled => self.accept_settled_run(job_index, now, last_run_changed, actions),
             Decision::AlreadyHeld => {
                 let (job, run) = (state.job.name.clone(), request.run);
@@ -158,6 +163,9 @@
         };
         let call = self.store.next_call();
         let state = &mut self.jobs[job_index];
+        if !record.is_seed() {
+            state.last_requested_run = record.run;
+        }
         state.phase = Phase::Writing { call, is_seed: record.is_seed() };
         let job = state.job.name.clone();
         actions.push(Action::CallStore(StoreCall::CompareAndSet {
--- a/crates/periodic_jobs/src/scheduler/job_state.rs
+++ b/crates/periodic_jobs/src/scheduler/job_state.rs
@@ -87,6 +87,8 @@
     pub(super) last_run: Option<LastRun>,
     /// The last run that this instance started. 0 if there is none.
     pub(super) last_started_run: RunId,
+    /// The last run that this state has requested to acquire. 0 if there is none.
+    pub(super) last_requested_run: RunId,
     /// The number of the current run's writes that conflicted with a write of another instance.
     pub(super) conflict_count: u8,
 }
@@ -102,6 +104,7 @@
             cached_lease: None,
             last_run: None,
             last_started_run: RunId::default(),
+            last_requested_run: RunId::default(),
             conflict_count: 0,
         }
     }
--- a/crates/periodic_jobs/tests/scheduler.rs
+++ b/crates/periodic_jobs/tests/scheduler.rs
@@ -8,6 +8,7 @@
 use periodic_jobs::{
     Action, ClockReading, Job, Notice, ResetReason, Run, Scheduler, StoreCall, StoreResponse,
 };
+use std::collections::VecDeque;
 use std::time::Duration;
 use support::{clock_reading, config};
 use timestamps::UnixTime;
@@ -52,8 +53,8 @@
     runs: Vec<Run>,
     notices: Vec<Notice>,
     calls: CallCounts,
-    /// The outcome to inject into the next write.
-    injected_outcome: Option<InjectedOutcome>,
+    /// The outcomes to inject into the next writes.
+    injected_outcomes: VecDeque<InjectedOutcome>,
     store_unavailable: bool,
 }
 
@@ -69,7 +70,7 @@
             runs: Vec::new(),
             notices: Vec::new(),
             calls: CallCounts::default(),
-            injected_outcome: None,
+            injected_outcomes: VecDeque::new(),
             store_unavailable: false,
         }
     }
@@ -109,7 +110,7 @@
             StoreCall::OpenSession | StoreCall::RenewSession(_) => {}
         }
         if matches!(call, StoreCall::CompareAndSet { .. })
-            && let Some(injected) = self.injected_outcome.take()
+            && let Some(injected) = self.injected_outcomes.pop_front()
         {
             return self.inject(call, injected);
         }
@@ -202,7 +203,7 @@
 fn a_run_starts_once_if_its_write_is_applied_but_the_response_is_lost() {
     let mut harness = Harness::with_seeded_jobs(&["d"]);
     let outcome = CompareAndSetOutcome::Failed(no_response());
-    harness.injected_outcome = Some(InjectedOutcome { outcome, is_applied: true });
+    harness.injected_outcomes.push_back(InjectedOutcome { outcome, is_applied: true });
     harness.advance(2 * PERIOD);
     assert_eq!(harness.run_ids().len(), 2);
     assert!(matches!(harness.notices[..], [Notice::LeaseRecovered { .. }]), "{:?}", harness.notices);
@@ -212,7 +213,7 @@
 fn a_write_that_is_lost_before_it_is_applied_is_retried() {
     let mut harness = Harness::with_seeded_jobs(&["d"]);
     let outcome = CompareAndSetOutcome::Failed(no_response());
-    harness.injected_outcome = Some(InjectedOutcome { outcome, is_applied: false });
+    harness.injected_outcomes.push_back(InjectedOutcome { outcome, is_applied: false });
     harness.advance(2 * PERIOD);
     assert_eq!(harness.run_ids().len(), 2);
 }
@@ -281,8 +282,9 @@
     let mut harness = Harness::with_seeded_jobs(&["d"]);
     harness.advance(PERIOD);
     harness.store = LocalStore::default();
-    harness.injected_outcome =
-        Some(InjectedOutcome { outcome: CompareAndSetOutcome::SessionEnded, is_applied: false });
+    harness
+        .injected_outcomes
+        .push_back(InjectedOutcome { outcome: CompareAndSetOutcome::SessionEnded, is_applied: false });
     harness.advance(3 * PERIOD);
     assert!(
         harness.notices.contains(&Notice::StoreReset(ResetReason::SessionEnded)),
@@ -339,6 +341,38 @@
     assert_eq!(harness.runs.len(), runs_before, "a removed job does not run");
 }
 
+/// Regression: a job that one reload removed and the next one added again in the same period started its run a second time.
+#[test]
+fn a_job_that_is_removed_and_added_again_repeats_no_run() {
+    let mut harness = Harness::with_seeded_jobs(&["d", "e"]);
+    for away in [Duration::ZERO, PERIOD / 4, PERIOD / 2] {
+        harness.advance(PERIOD + PERIOD / 10);
+        harness.scheduler.set_jobs(harness.now, vec![job("e", PERIOD)]);
+        harness.advance(away);
+        harness.scheduler.set_jobs(harness.now, vec![job("e", PERIOD), job("d", PERIOD)]);
+        harness.advance(2 * PERIOD);
+    }
+    for name in ["d", "e"] {
+        let ids: Vec<RunId> = harness.runs.iter().filter(|run| run.job == name).map(|run| run.id).collect();
+        assert!(ids.len() >= 8, "{name}: {ids:?}");
+        assert!(ids.windows(2).all(|pair| pair[0] < pair[1]), "{name}: {ids:?}");
+    }
+}
+
+/// A write whose response was lost may be applied after the lease was read, so that the next write conflicts with it.
+#[test]
+fn a_run_starts_once_if_its_first_write_is_applied_after_the_lease_was_read() {
+    let mut harness = Harness::with_seeded_jobs(&["d"]);
+    let lost = CompareAndSetOutcome::Failed(no_response());
+    harness.injected_outcomes.push_back(InjectedOutcome { outcome: lost, is_applied: false });
+    let conflict = CompareAndSetOutcome::Conflict;
+    harness.injected_outcomes.push_back(InjectedOutcome { outcome: conflict, is_applied: true });
+    harness.advance(2 * PERIOD);
+    assert_eq!(harness.run_ids().len(), 2);
+    harness.assert_run_ids_increase();
+    assert!(matches!(harness.notices[..], [Notice::LeaseRecovered { .. }]), "{:?}", harness.notices);
+}
+
 #[test]
 fn a_clock_step_backwards_repeats_no_run() {
     let mut harness = Harness::with_seeded_jobs(&["d"]);
