Memory of requests that arrive in pieces: read buffers are counted as they are

A process above its limit is killed.

Cause: read buffers doubled when they grew, and the budget counted what is in them; empty buffers of up to 32 KiB were kept uncounted; commands below 16 KiB were never delayed or shed.

Change: buffers grow by a quarter of their length, the budget counts their capacity, empty ones are kept up to 2 KiB, and under pressure a command may be shed from its share of the budget on, from 1 to 16 KiB (16 KiB as before for 96 MB and 512 sockets). The budget of unread answers is unchanged.

Tests of front_resp, link and floods pass.

--- a/crates/front_resp/src/client_state/tests.rs
+++ b/crates/front_resp/src/client_state/tests.rs
@@ -118,11 +118,15 @@
     use crate::limits::TYPICAL_REQUEST_BYTES;
     let mut state = new_connection();
     state.incomplete_command.update(TYPICAL_REQUEST_BYTES - 1, false);
-    assert_eq!(state.incomplete_command.sheddable_since(), None);
+    assert_eq!(state.incomplete_command.sheddable_since(TYPICAL_REQUEST_BYTES), None);
     state.incomplete_command.update(TYPICAL_REQUEST_BYTES, false);
-    assert!(state.incomplete_command.sheddable_since().is_some());
+    assert!(state.incomplete_command.sheddable_since(TYPICAL_REQUEST_BYTES).is_some());
     state.incomplete_command.shed();
-    assert_eq!(state.incomplete_command.sheddable_since(), None, "a command is shed once");
+    assert_eq!(
+        state.incomplete_command.sheddable_since(TYPICAL_REQUEST_BYTES),
+        None,
+        "a command is shed once"
+    );
     assert!(state.incomplete_command.is_shed());
     state.incomplete_command.update(0, true);
     assert!(!state.incomplete_command.is_shed(), "the command is complete");
--- a/crates/front_resp/src/connection_table.rs
+++ b/crates/front_resp/src/connection_table.rs
@@ -48,6 +48,11 @@
         lock_or_abort(&self.open).by_number.len() >= (self.max_connections)()
     }
 
+    /// Returns the current limit of open connections.
+    pub(crate) fn max_connections(&self) -> usize {
+        (self.max_connections)()
+    }
+
     /// Returns how many of `open` connections must be evicted to restore the reserve for new connections.
     pub(crate) fn connections_to_evict(&self, open: usize) -> usize {
         let max_connections = (self.max_connections)();
--- a/crates/front_resp/src/eviction.rs
+++ b/crates/front_resp/src/eviction.rs
@@ -41,11 +41,11 @@
         candidates.into_iter().take(count).for_each(EvictionCandidate::evict);
     }
 
-    /// Sheds the oldest incomplete command among the large ones, to free its memory.
-    pub(crate) fn shed_incomplete_command(&self) {
+    /// Sheds the oldest incomplete command among those of at least `min_bytes`, to free its memory.
+    pub(crate) fn shed_incomplete_command(&self, min_bytes: usize) {
         let clients = self.clients();
         let sheddable = clients.iter().filter_map(|client| {
-            Some((lock_or_abort(&client.state).incomplete_command.sheddable_since()?, client))
+            Some((lock_or_abort(&client.state).incomplete_command.sheddable_since(min_bytes)?, client))
         });
         if let Some((_, client)) = sheddable.min_by_key(|(since, _)| *since) {
             lock_or_abort(&client.state).incomplete_command.shed();
--- a/crates/front_resp/src/eviction/tests.rs
+++ b/crates/front_resp/src/eviction/tests.rs
@@ -95,8 +95,8 @@
     let younger = fixture.open(Duration::ZERO);
     lock_or_abort(&younger.state).incomplete_command.update(2 * TYPICAL_REQUEST_BYTES, false);
     let is_shed = |client: &Arc<ClientConnection>| lock_or_abort(&client.state).incomplete_command.is_shed();
-    fixture.table.shed_incomplete_command();
+    fixture.table.shed_incomplete_command(TYPICAL_REQUEST_BYTES);
     assert_eq!([&small, &older, &younger].map(is_shed), [false, true, false]);
-    fixture.table.shed_incomplete_command();
+    fixture.table.shed_incomplete_command(TYPICAL_REQUEST_BYTES);
     assert_eq!([&small, &older, &younger].map(is_shed), [false, true, true]);
 }
--- a/crates/front_resp/src/limits.rs
+++ b/crates/front_resp/src/limits.rs
@@ -4,8 +4,9 @@
 
 /// Maximum bytes of one read.
 pub(crate) const MAX_READ_BYTES: usize = 8 * 1024;
-/// Maximum capacity of a read buffer that is kept when it is empty. A larger one is freed.
-pub(crate) const MAX_RETAINED_BUFFER_BYTES: usize = 4 * MAX_READ_BYTES;
+/// Maximum capacity of a read buffer that is kept when it is empty. A larger one is freed, since every idle connection may keep
+/// one.
+pub(crate) const MAX_RETAINED_BUFFER_BYTES: usize = 2 * 1024;
 /// Maximum number of requests in flight on one connection. Further requests are rejected at once.
 pub(crate) const MAX_IN_FLIGHT: usize = 64;
 /// Maximum number of commands in a connection's answer queue. A client that sends more gets an error, so that the queue stays
@@ -23,8 +24,10 @@
 pub(crate) const COMPLETE_MEMORY_DIVISOR: usize = 4;
 /// The budget for answers that clients have not read is the process's memory divided by this number.
 pub(crate) const UNREAD_MEMORY_DIVISOR: usize = 8;
-/// An incomplete command of fewer bytes than this is never delayed or shed to save memory. Typical requests are smaller.
+/// An incomplete command of at least this size may be delayed or shed to save memory. Typical requests are smaller.
 pub(crate) const TYPICAL_REQUEST_BYTES: usize = 16 * 1024;
+/// An incomplete command of fewer bytes than this is never delayed or shed.
+pub(crate) const MIN_SHEDDABLE_BYTES: usize = 1024;
 /// Commands that a client may pipeline in one read before its connection yields to others. Typical clients send one at a time.
 pub(crate) const MAX_BURST_COMMANDS: usize = 16;
 /// Time for which a connection yields to others after a burst.
--- a/crates/front_resp/src/memory.rs
+++ b/crates/front_resp/src/memory.rs
@@ -15,6 +15,11 @@
         Arc::new(Self { reserved_bytes: AtomicUsize::new(0), max_bytes })
     }
 
+    /// Returns the equal share of each of `owners` in the budget.
+    pub(crate) fn share(&self, owners: usize) -> usize {
+        self.max_bytes / owners.max(1)
+    }
+
     /// Whether the reservations exceed the budget.
     pub(crate) fn is_exceeded(&self) -> bool {
         self.reserved_bytes.load(Ordering::Relaxed) > self.max_bytes
--- a/crates/front_resp/src/reader.rs
+++ b/crates/front_resp/src/reader.rs
@@ -6,7 +6,7 @@
 use crate::front::Front;
 use crate::limits::{
     CAPACITY_CHECK_INTERVAL, ERROR_READ_DELAY, MAX_BURST_COMMANDS, MAX_PIPELINED, MAX_READ_BYTES,
-    MAX_RETAINED_BUFFER_BYTES, TYPICAL_REQUEST_BYTES, YIELD_TIME,
+    MAX_RETAINED_BUFFER_BYTES, MIN_SHEDDABLE_BYTES, TYPICAL_REQUEST_BYTES, YIELD_TIME,
 };
 use link::{Incoming, lock_or_abort, sleep};
 use resp::MalformedInput;
@@ -64,7 +64,7 @@
         }
         let dispatched = self.dispatch_commands(client, buffer)?;
         remove_front(buffer, dispatched.bytes);
-        update_incomplete(client, buffer.len(), &dispatched)?;
+        update_incomplete(client, buffer, &dispatched)?;
         // The state is also checked between reads, since a client that pipelines without a pause never leaves the input empty.
         if was_read {
             self.end_if_draining(&mut lock_or_abort(&client.state))?;
@@ -98,13 +98,24 @@
         Ok(dispatched)
     }
 
+    /// Returns the size from which an incomplete command may be delayed or shed. Below it, all connections together stay within
+    /// the budget, or the command is smaller than any that is shed.
+    fn min_sheddable_bytes(&self) -> usize {
+        let share = self.memory.incomplete_command_budget.share(self.connections.max_connections());
+        share.clamp(MIN_SHEDDABLE_BYTES, TYPICAL_REQUEST_BYTES)
+    }
+
     /// Stops reading a large incomplete command while the budget for incomplete commands is exceeded.
     fn wait_for_memory(&self, client: &ClientConnection, incomplete_bytes: usize) {
         let budget = &self.memory.incomplete_command_budget;
-        if incomplete_bytes < TYPICAL_REQUEST_BYTES || !budget.is_exceeded() {
+        if !budget.is_exceeded() {
             return;
         }
-        self.connections.shed_incomplete_command();
+        let min_bytes = self.min_sheddable_bytes();
+        if incomplete_bytes < min_bytes {
+            return;
+        }
+        self.connections.shed_incomplete_command(min_bytes);
         let may_wait =
             |state: &ClientState| !state.incomplete_command.is_shed() && !state.is_command_overdue();
         while budget.is_exceeded() && may_wait(&lock_or_abort(&client.state)) && !client.socket.is_closed() {
@@ -143,11 +154,12 @@
 /// Updates the incomplete command after a read. Ends a connection that pipelines too many commands.
 fn update_incomplete(
     client: &ClientConnection,
-    bytes: usize,
+    buffer: &Vec<u8>,
     dispatched: &DispatchedCommands,
 ) -> ServeResult {
     let mut state = lock_or_abort(&client.state);
-    state.incomplete_command.update(bytes, dispatched.bytes > 0);
+    state.incomplete_command.update(buffer.len(), dispatched.bytes > 0);
+    state.incomplete_command.reserve_buffer(buffer.capacity());
     if state.answers.len() > MAX_PIPELINED { Err(ConnectionEnd::Error(TOO_MANY_COMMANDS)) } else { Ok(()) }
 }
 
--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -21,6 +21,8 @@
 /// Receive buffer that all connections share. Each connection copies its bytes out, so one with an incomplete message holds no
 /// more memory than that message needs. One worker reads all connections, so the lock is uncontended.
 static READ_BUFFER: Mutex<[u8; MAX_READ_BYTES]> = Mutex::new([0; MAX_READ_BYTES]);
+/// A receive buffer grows by at least its length divided by this number.
+const GROWTH_DIVISOR: usize = 4;
 /// Maximum bytes that are read and discarded from a peer that still sends during a graceful close.
 const MAX_DISCARDED_BYTES: usize = 256 * 1024;
 
@@ -51,6 +53,15 @@
     has_ended: bool,
 }
 
+/// Appends bytes to a buffer. The capacity grows by a part of the length: doubling it, as a vector does by itself, would let
+/// many large messages that arrive in pieces take twice their memory.
+fn append(buffer: &mut Vec<u8>, bytes: &[u8]) {
+    if buffer.capacity() - buffer.len() < bytes.len() {
+        buffer.reserve_exact(bytes.len() + buffer.len() / GROWTH_DIVISOR);
+    }
+    buffer.extend_from_slice(bytes);
+}
+
 impl std::fmt::Debug for Connection {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("Connection").field("stream", &self.stream).finish_non_exhaustive()
@@ -201,7 +212,7 @@
                     return Ok(Received { byte_count: total, has_ended: true });
                 }
                 Ok(count) => {
-                    buffer.extend_from_slice(&read_buffer[..count]);
+                    append(buffer, &read_buffer[..count]);
                     total += count;
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {
--- a/crates/snowfield/tests/common/mod.rs
+++ b/crates/snowfield/tests/common/mod.rs
@@ -117,11 +117,20 @@
 
     /// Resident memory in kB.
     pub fn memory_kb(&self) -> u64 {
+        self.status_kb("VmRSS:")
+    }
+
+    /// Maximum of the resident memory since the start, in kB.
+    pub fn peak_memory_kb(&self) -> u64 {
+        self.status_kb("VmHWM:")
+    }
+
+    /// A size in `/proc`, in kB.
+    fn status_kb(&self, name: &str) -> u64 {
         let status =
             std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("the program runs");
-        let line =
-            status.lines().find_map(|l| l.strip_prefix("VmRSS:")).expect("the status has a VmRSS line");
-        line.trim().trim_end_matches("kB").trim().parse().expect("VmRSS is a number")
+        let line = status.lines().find_map(|line| line.strip_prefix(name)).expect("the status has this line");
+        line.trim().trim_end_matches("kB").trim().parse().expect("a size is a number")
     }
 
     /// Number of the program's established connections to a loopback address, from `/proc`.
--- a/crates/snowfield/tests/floods.rs
+++ b/crates/snowfield/tests/floods.rs
@@ -5,6 +5,7 @@
 
 use common::*;
 use std::io::Write;
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 /// Memory in KiB that a flood may add to that of its clients' connections: 18 of the 48 MiB for the front's budgets of requests
@@ -61,6 +62,34 @@
     );
 }
 
+/// Regression: 850 clients that wrote requests of 16 kB in pieces made the program hold 40 of its 32 MB, since read buffers had
+/// up to twice the size of what was in them, and kept it when they were empty.
+#[test]
+fn requests_that_arrive_in_pieces_stay_within_the_memory_limit() {
+    const MEMORY_KB: u64 = 32 * 1024;
+    const PIECES: usize = 20;
+    let (address, _events) = start_echo_backend();
+    let options = SiteOptions { backends: &[address], sockets: 1024, ..SiteOptions::default() };
+    let site = start_site_with_config("pieces", &options, |text| {
+        text.replace(r#""memory_mb":192"#, r#""memory_mb":32"#).replace("read_like", "non_idempotent")
+    });
+    let connect = |_| TcpStream::connect(site.listen).expect("the program accepts connections");
+    let mut clients: Vec<TcpStream> = (0..850).map(connect).collect();
+    let requests: Vec<Vec<u8>> = (1_000..).take(clients.len()).map(|n| submit_with_body(n, 15_800)).collect();
+    for piece in 0..PIECES {
+        for (client, request) in clients.iter_mut().zip(&requests) {
+            let bytes = request.chunks(request.len().div_ceil(PIECES)).nth(piece).unwrap_or_default();
+            // The program may have closed the connection after an error.
+            let _ = client.write_all(bytes);
+        }
+        std::thread::sleep(Duration::from_millis(80));
+    }
+    let (reply, _) = request_and_measure(&site, 1);
+    assert_eq!(reply, request_id(1), "another client is served");
+    let peak_kb = site.program.peak_memory_kb();
+    assert!(peak_kb < MEMORY_KB, "the program held {peak_kb} of {MEMORY_KB} KiB");
+}
+
 /// Regression: replies that wait for an earlier reply of their connection took up to 60 MB for one client, which is a thousand
 /// replies of maximum size. Beyond the limit further requests must be rejected.
 #[test]
