catalogue: an endpoint whose address another instance takes is not retained

After a sudden loss, requests for a retained endpoint went to the new instance that was registered at its address meanwhile, with the old one's history, as operators of other deployments had reported (a new process taken for the old one).

Cause: a retention ended if the id of an instance was listed elsewhere, but not if its address was listed for another id; of two instances at one address the eligible one, here the retained one, has precedence.

Change: both count as replaced. A replaced instance is no part of a sudden loss and is not retained.

Failed before: endpoint_tracker an_endpoint_whose_address_another_instance_takes_is_not_retained (i0 in place of new0). It passes, as do all tests of catalogue.

--- a/crates/catalogue/src/endpoint_tracker.rs
+++ b/crates/catalogue/src/endpoint_tracker.rs
@@ -148,15 +148,15 @@
         for instance in instances {
             self.record_listed(now, instance);
         }
-        let moved = self.moved_keys();
-        let vanished = self.vanished_keys(&moved);
+        let replaced = self.replaced_keys();
+        let vanished = self.vanished_keys(&replaced);
         if self.is_sudden_loss(vanished.len(), eligible_before) {
             let retained = self.retain_answering(now, &vanished, last_answer_at);
             events.push(WatchEvent::SuddenLoss { vanished: vanished.len(), eligible_before, retained });
         }
         for (key, record) in &mut self.records {
             record.record_departure(now);
-            if moved.contains(key) {
+            if replaced.contains(key) {
                 record.cancel_retention();
             }
         }
@@ -172,19 +172,23 @@
         record.apply_listed_instance(instance);
     }
 
-    /// Returns the former keys of instances whose id is now listed at another address. They are not part of a sudden loss.
-    fn moved_keys(&self) -> HashSet<InstanceKey> {
-        let listed = self.records.values().filter(|record| record.is_listed());
-        let listed_ids: HashSet<&str> = listed.map(InstanceRecord::id).collect();
-        let has_moved = |key: &InstanceKey, record: &InstanceRecord| {
-            !record.is_listed() && listed_ids.contains(key.id.as_str())
+    /// Returns the keys of unlisted instances that have been replaced: their id is listed at another address, or another instance
+    /// is listed at their address, which then belongs to another process. They are not part of a sudden loss.
+    fn replaced_keys(&self) -> HashSet<InstanceKey> {
+        let listed = || self.records.values().filter(|record| record.is_listed());
+        let listed_ids: HashSet<&str> = listed().map(InstanceRecord::id).collect();
+        let listed_addresses: HashSet<SocketAddr> = listed().map(InstanceRecord::address).collect();
+        let is_replaced = |key: &InstanceKey, record: &InstanceRecord| {
+            let has_successor =
+                listed_ids.contains(key.id.as_str()) || listed_addresses.contains(&key.address);
+            !record.is_listed() && has_successor
         };
-        self.keys_where(has_moved)
+        self.keys_where(is_replaced)
     }
 
-    /// Returns the keys of eligible instances that the response no longer lists and that have not moved to another address.
-    fn vanished_keys(&self, moved: &HashSet<InstanceKey>) -> HashSet<InstanceKey> {
-        self.keys_where(|key, record| record.has_vanished() && !moved.contains(key))
+    /// Returns the keys of eligible instances that the response no longer lists and that have not been replaced.
+    fn vanished_keys(&self, replaced: &HashSet<InstanceKey>) -> HashSet<InstanceKey> {
+        self.keys_where(|key, record| record.has_vanished() && !replaced.contains(key))
     }
 
     fn keys_where(&self, condition: impl Fn(&InstanceKey, &InstanceRecord) -> bool) -> HashSet<InstanceKey> {
--- a/crates/catalogue/src/endpoint_tracker/tests.rs
+++ b/crates/catalogue/src/endpoint_tracker/tests.rs
@@ -245,6 +245,19 @@
     assert_ne!(harness.endpoint("i0").number, before);
 }
 
+/// Regression: after a sudden loss, a retained endpoint kept the address of a new instance, whose process got its requests.
+#[test]
+fn an_endpoint_whose_address_another_instance_takes_is_not_retained() {
+    let mut harness = Harness::new((0..4).map(instance).collect());
+    harness.last_answers.extend(harness.list.endpoints.iter().map(|e| (e.number, at_millis(1_001))));
+    let new = |i: u16| Instance { id: format!("new{i}"), ..instance(i) };
+    // One address is taken in the response that drops the others, one in a later response.
+    harness.respond_after(millis(10), vec![new(0)]);
+    assert_eq!(harness.eligible_ids(), ["i1", "i2", "i3", "new0"]);
+    harness.respond_after(millis(10), vec![new(0), new(1)]);
+    assert_eq!(harness.eligible_ids(), ["i2", "i3", "new0", "new1"]);
+}
+
 #[test]
 fn a_cached_list_is_used_until_the_first_response_replaces_it() {
     let mut tracker = EndpointTracker::new(StabilityConfig::default(), 0);
