front_resp: the id of a request that must not run again outlives its client

Cause: the id was free as soon as the client had left, though a backend may run the request until its deadline.

Idempotent requests are as before.

Failed before: shutdown_and_cancellation the_id_of_a_disconnected_client_is_not_forwarded_again_while_its_request_may_run (the second request was forwarded). It passes, with all tests of front_resp and shutdown_and_cancellation.

--- a/crates/front_resp/src/dispatch.rs
+++ b/crates/front_resp/src/dispatch.rs
@@ -12,7 +12,7 @@
 use resp::RequestCommand;
 use std::ops::Range;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Minimum remaining time of a submitted request.
 const MIN_TIME_LEFT_MICROS: u64 = 1_000;
@@ -92,7 +92,9 @@
         // while the connection table was full or this process was descheduled.
         let waited = client.socket.time_since_last_data().unwrap_or_default();
         valid.request.time_left = time_left_after(valid.request.time_left, waited);
-        let Some(open) = self.open_requests.register(valid.id) else {
+        let deadline = Instant::now() + Duration::from_micros(valid.request.time_left);
+        let held_until = (!valid.is_idempotent).then_some(deadline);
+        let Some(open) = self.open_requests.register(valid.id, held_until) else {
             return Command::Error("the id is that of an open request".to_owned());
         };
         let reservation = Reservation::new(&self.memory.complete_budget, raw.len());
@@ -115,7 +117,7 @@
         let (front, answered) = (self.clone(), client.clone());
         let reply = move |answer| {
             // Frees the id before the answer is written, since the client may reuse it as soon as it has the answer.
-            drop(open);
+            open.finish();
             drop(reservation);
             lock_or_abort(&answered.state).answers.finish_request();
             match answer {
--- a/crates/front_resp/src/rules.rs
+++ b/crates/front_resp/src/rules.rs
@@ -106,6 +106,7 @@
 pub(crate) struct ValidRequest {
     pub(crate) request: Request<RequestCommand>,
     pub(crate) id: Vec<u8>,
+    pub(crate) is_idempotent: bool,
 }
 
 /// The values in a request's list whose names the protocol defines.
@@ -161,7 +162,7 @@
             account: None,
             payload: RequestCommand::new(raw.to_vec(), list).ok_or(InvalidRequest::Deadline)?,
         };
-        Ok(ValidRequest { request, id: id.to_vec() })
+        Ok(ValidRequest { request, id: id.to_vec(), is_idempotent: class.is_idempotent })
     }
 
     fn class(&self, values: &RequestValues<'_>, is_query: bool) -> Result<&ClassRule, InvalidRequest> {
--- a/crates/snowfield/tests/shutdown_and_cancellation.rs
+++ b/crates/snowfield/tests/shutdown_and_cancellation.rs
@@ -55,6 +55,30 @@
     );
 }
 
+/// Regression: a request that is not idempotent ran twice if its client disconnected and sent the same id again, since the id
+/// was free although the backend may still have run the first request.
+#[test]
+fn the_id_of_a_disconnected_client_is_not_forwarded_again_while_its_request_may_run() {
+    let (address, events) = start_backend(read_resp_command, |_| Behaviour::NoReply);
+    let options = SiteOptions { backends: &[address], ..SiteOptions::default() };
+    let site =
+        start_site_with_config("same-id", &options, |text| text.replace("read_like", "non_idempotent"));
+    let submit = |number: u32| {
+        let fields = "c=lookup,t=team,d=2400,units=1,spread=1,first=0";
+        resp_command(&["SVC.SUBMIT", &request_id(number), &request_id(number), fields, "body"])
+    };
+    let mut client = Client::connect(site.listen);
+    client.send(&submit(1));
+    next_request(&events);
+    drop(client);
+    assert!(matches!(receive(&events), BackendEvent::RequestAbandoned));
+    let mut client = Client::connect(site.listen);
+    client.send(&submit(1));
+    assert_eq!(client.read_reply(), "-ERR the id is that of an open request");
+    client.send(&submit(2));
+    assert_eq!(next_request(&events)[2], request_id(2), "other ids are forwarded");
+}
+
 /// Regression: after a malformed command the connection was not read any more, so that its close by the client went unnoticed.
 #[test]
 fn a_client_that_disconnects_after_an_error_cancels_its_requests() {
