--- a/crates/snowfield/tests/common/admin.rs
+++ b/crates/snowfield/tests/common/admin.rs
@@ -32,13 +32,23 @@
 
 /// Starts a site with an admin listener, and also returns the address of that listener.
 pub fn start_site_with_admin(test: &str, options: &SiteOptions<'_>) -> (Site, SocketAddr) {
+    let site = start_site_with_admin_and_config(test, options, |text| text);
+    let admin = site.admin.expect("the site has an admin listener");
+    (site, admin)
+}
+
+/// Starts a site with an admin listener whose configuration is changed by `change`.
+pub fn start_site_with_admin_and_config(
+    test: &str,
+    options: &SiteOptions<'_>,
+    change: impl FnOnce(String) -> String,
+) -> Site {
     let shared_directory = TestDirectory::new(&format!("{test}-tmp"));
     let shared_path = shared_directory.path().to_str().expect("a path in UTF-8");
     let variables = [("BALANCER_OPERATOR", "127.0.0.1:0"), ("TMPDIR", shared_path)];
-    let mut site = start_site_with_environment(test, options, &variables);
+    let mut site = start_site_with(test, options, &variables, change);
     site.shared_directory = Some(shared_directory);
-    let admin = site.admin.expect("the site has an admin listener");
-    (site, admin)
+    site
 }
 
 /// Starts the successor of a site's process, and waits until it is ready. Also returns the address of its admin listener.
--- a/crates/snowfield/tests/common/site.rs
+++ b/crates/snowfield/tests/common/site.rs
@@ -107,7 +107,8 @@
     start_site_with(test, options, &[], change)
 }
 
-fn start_site_with(
+/// Starts a site whose program has further environment variables, and whose configuration is changed by `change`.
+pub fn start_site_with(
     test: &str,
     options: &SiteOptions<'_>,
     variables: &[(&str, &str)],
--- a/crates/snowfield/tests/floods.rs
+++ b/crates/snowfield/tests/floods.rs
@@ -3,6 +3,7 @@
 
 mod common;
 
+use common::admin::{admin_command, start_site_with_admin_and_config};
 use common::*;
 use std::io::Write;
 use std::net::TcpStream;
@@ -15,11 +16,21 @@
 /// Starts a site with 48 MiB of memory, 640 sockets and requests that are not retried.
 fn start_small_site(test: &str, backends: &[std::net::SocketAddr]) -> Site {
     let options = SiteOptions { backends, sockets: 640, ..SiteOptions::default() };
-    start_site_with_config(test, &options, |text| {
+    start_site_with_admin_and_config(test, &options, |text| {
         text.replace(r#""memory_mb":192"#, r#""memory_mb":48"#).replace("read_like", "non_idempotent")
     })
 }
 
+/// The counts of rejections by class and reason, for the message of a failed assertion.
+fn rejection_metrics(site: &Site) -> String {
+    let metrics = admin_command(site.admin.expect("the site has an admin listener"), "telemetry");
+    metrics
+        .lines()
+        .filter(|line| (line.contains("reject") || line.contains("refusals")) && !line.ends_with(" 0"))
+        .collect::<Vec<_>>()
+        .join("; ")
+}
+
 /// A request with a body of this many bytes, by a tenant that has no other request.
 fn submit_with_body(number: u32, body_bytes: usize) -> Vec<u8> {
     let fields = "c=lookup,t=team,d=2400,units=1,spread=1,first=0";
@@ -55,7 +66,7 @@
         let _ = client.writer.write_all(&submit_with_body(number, 65_000)[..64_000]);
     }
     let (reply, memory_kb) = request_and_measure(&site, 1);
-    assert_eq!(reply, request_id(1), "another client is served");
+    assert_eq!(reply, request_id(1), "another client is served: {}", rejection_metrics(&site));
     assert!(
         memory_kb < kilobytes_before + MAX_FLOOD_KB,
         "{kilobytes_before} KiB before and {memory_kb} KiB after the flood"
@@ -132,7 +143,7 @@
         let _ = client.writer.write_all(&pings);
     }
     let (reply, memory_kb) = request_and_measure(&site, 1);
-    assert_eq!(reply, request_id(1), "another client is served");
+    assert_eq!(reply, request_id(1), "another client is served: {}", rejection_metrics(&site));
     assert!(
         memory_kb < kilobytes_before + MAX_FLOOD_KB,
         "{kilobytes_before} KiB before and {memory_kb} KiB after the flood"
