periodic_jobs: each job has a call in flight or a queued attempt, whatever comes between

Cause: set_jobs cleared the queue of attempts and filled it again for idle jobs alone. A job whose write has an unknown outcome and whose read has failed has no call in flight; the cleared attempt was all that would have continued it. The coordinator calls set_jobs at each change of the endpoint list and at each reload. A twin: a job whose write was in flight when this instance lost its rank and then its session got no attempt at all.

Change: the queue is derived from the phases, which change only through Jobs::set_phase, and is rebuilt from them. That an outcome is unknown is a fact about a job beside its phase. JobStatus::next_step states the event that continues a job. The tests of the queue use first_due and cancel in place of pop_due, with the same expectations.

--- a/crates/periodic_jobs/src/lib.rs
+++ b/crates/periodic_jobs/src/lib.rs
@@ -28,5 +28,5 @@
 pub use clock::ClockReading;
 pub use config::Config;
 pub use job::{Job, Run};
-pub use scheduler::{JobStatus, LastRun, Scheduler};
+pub use scheduler::{JobStatus, LastRun, NextStep, Scheduler};
 pub use store_call::{CallId, StoreCall, StoreResponse};
--- a/crates/periodic_jobs/src/scheduler.rs
+++ b/crates/periodic_jobs/src/scheduler.rs
@@ -1,19 +1,16 @@
 //! The scheduler of one instance: handles its inputs, and determines when the instance attempts each run.
 
 mod attempt;
-mod attempt_queue;
-mod job_state;
+mod jobs;
 mod responses;
 mod store_connection;
 
-pub use job_state::{JobStatus, LastRun};
+pub use jobs::{JobStatus, LastRun, NextStep};
 
 use crate::rendezvous::{MemberHash, Members};
-use crate::{Action, ClockReading, Config, Job, Notice, ResetReason, StoreCall};
-use attempt_queue::AttemptQueue;
+use crate::{Action, CallId, ClockReading, Config, Job, Notice, ResetReason, StoreCall};
 use job_lease::{RunId, Session};
-use job_state::{JobState, Phase};
-use std::collections::HashMap;
+use jobs::{JobState, Jobs, Phase};
 use std::time::Duration;
 use store_connection::StoreConnection;
 use timestamps::{UnixTime, whole_millis};
@@ -24,16 +21,20 @@
 /// The percentage of a period over which the attempts of all ranks are spread. The rest remains for the run.
 const ATTEMPT_SPREAD_PERCENT: u64 = 60;
 
+/// A call that reads the leases of all jobs whose attempts at one tick begin with a read.
+struct LeaseRead {
+    call: CallId,
+    /// The names of the jobs.
+    jobs: Vec<String>,
+}
+
 /// The scheduler of one instance. Its methods append the resulting actions to `actions`.
 #[derive(Debug)]
 pub struct Scheduler {
     config: Config,
     local_member: MemberHash,
     members: Members,
-    jobs: Vec<JobState>,
-    /// The index in `jobs` by job name.
-    index_by_name: HashMap<String, usize>,
-    attempts: AttemptQueue,
+    jobs: Jobs,
     store: StoreConnection,
     last_clock_reading: Option<ClockReading>,
 }
@@ -47,9 +48,7 @@
             local_member: MemberHash::from_name(&config.instance),
             config,
             members,
-            jobs: Vec::new(),
-            index_by_name: HashMap::new(),
-            attempts: AttemptQueue::default(),
+            jobs: Jobs::default(),
             store: StoreConnection::default(),
             last_clock_reading: None,
         }
@@ -58,22 +57,9 @@
     /// Replaces the jobs. A job whose name remains keeps its state. A job with a period below one millisecond, or with the
     /// name of an earlier job in the list, is ignored.
     pub fn set_jobs(&mut self, now: ClockReading, jobs: Vec<Job>) {
-        let mut previous: HashMap<String, JobState> =
-            std::mem::take(&mut self.jobs).into_iter().map(|state| (state.job.name.clone(), state)).collect();
-        self.index_by_name.clear();
-        self.attempts.clear();
-        for job in jobs {
-            if whole_millis(job.period) == 0 || self.index_by_name.contains_key(&job.name) {
-                continue;
-            }
-            let mut state = previous
-                .remove(&job.name)
-                .unwrap_or_else(|| JobState::new(job.clone(), &self.members, self.config.standbys + 1));
-            state.job = job;
-            self.index_by_name.insert(state.job.name.clone(), self.jobs.len());
-            self.jobs.push(state);
-        }
-        self.schedule_all(now);
+        let max_ranks = self.config.standbys + 1;
+        self.jobs.replace(jobs, |job| JobState::new(job, &self.members, max_ranks));
+        self.reschedule_all(now);
     }
 
     /// Replaces the live members. This instance is always one of them, even if `names` does not contain it.
@@ -83,9 +69,9 @@
         if change.is_empty() {
             return;
         }
-        for job_index in 0..self.jobs.len() {
+        for job_index in self.jobs.indexes() {
             if self.jobs[job_index].ranking.update(&self.members, &change) {
-                self.schedule_next_run(job_index, now);
+                self.reschedule(job_index, now);
             }
         }
     }
@@ -93,7 +79,7 @@
     /// Returns the time at which the next attempt is due. The driver must call [`Scheduler::tick`] at this time at the latest.
     /// `None` if no attempt is scheduled.
     pub fn next_tick(&self) -> Option<UnixTime> {
-        self.attempts.next_due()
+        self.jobs.next_attempt_at()
     }
 
     /// Returns the status of all jobs, in the order in which they were set.
@@ -120,54 +106,48 @@
         if let Some(session) = self.store.start_renewal(now, self.config.session_renewal_interval) {
             actions.push(Action::CallStore(StoreCall::RenewSession(session)));
         }
-        let mut jobs_to_read = Vec::new();
-        while let Some(job_index) = self.attempts.pop_due(now.unix) {
-            self.attempt_run(job_index, now, &mut jobs_to_read, actions);
+        let mut read = None;
+        while let Some(job_index) = self.jobs.first_due_attempt(now.unix) {
+            self.attempt_run(job_index, now, &mut read, actions);
         }
-        if !jobs_to_read.is_empty() {
-            self.read_leases(&jobs_to_read, actions);
+        if let Some(LeaseRead { call, jobs }) = read {
+            actions.push(Action::CallStore(StoreCall::ReadLeases { call, jobs }));
         }
     }
 
-    /// Reads the leases of these jobs with one call.
-    fn read_leases(&mut self, job_indexes: &[usize], actions: &mut Vec<Action>) {
-        let call = self.store.next_call();
-        for &job_index in job_indexes {
-            let phase = &mut self.jobs[job_index].phase;
-            *phase = match phase {
-                Phase::Uncertain { .. } => Phase::Uncertain { pending_read: Some(call) },
-                _ => Phase::Reading(call),
-            };
-        }
-        let jobs = job_indexes.iter().map(|&job_index| self.jobs[job_index].job.name.clone()).collect();
-        actions.push(Action::CallStore(StoreCall::ReadLeases { call, jobs }));
-    }
-
     /// Detects a step of the Unix clock since the last tick. After a step, schedules all attempts again.
     fn detect_clock_step(&mut self, now: ClockReading, actions: &mut Vec<Action>) {
         let Some(previous) = self.last_clock_reading.replace(now) else { return };
         let by_ms = now.unix_step_ms_since(previous);
         if Duration::from_millis(by_ms.unsigned_abs()) > MIN_CLOCK_STEP {
             actions.push(Action::Notify(Notice::ClockStepped { by_ms }));
-            self.schedule_all(now);
+            self.reschedule_all(now);
         }
     }
 
-    fn schedule_all(&mut self, now: ClockReading) {
-        for job_index in 0..self.jobs.len() {
+    fn reschedule_all(&mut self, now: ClockReading) {
+        for job_index in self.jobs.indexes() {
+            self.reschedule(job_index, now);
+        }
+    }
+
+    /// Schedules a job's next attempt again after the job, its ranking or the clock has changed, unless the job has a call in
+    /// flight, whose response continues the attempt, or the outcome of its last write is unknown: this instance may hold the
+    /// lease, so the attempt that reads it stays queued whatever the rank is.
+    fn reschedule(&mut self, job_index: usize, now: ClockReading) {
+        let state = &self.jobs[job_index];
+        let has_call_in_flight = matches!(state.phase(), Phase::Reading(_) | Phase::Writing { .. });
+        if !has_call_in_flight && !state.is_outcome_unknown {
             self.schedule_next_run(job_index, now);
         }
     }
 
-    /// Schedules an idle job's next attempt, at the first run that is not settled. The attempt is delayed according to this
-    /// instance's rank.
+    /// Schedules a job's next attempt at the first run that is not settled. The attempt is delayed according to this
+    /// instance's rank. If this instance is neither owner nor standby, no attempt is scheduled.
     fn schedule_next_run(&mut self, job_index: usize, now: ClockReading) {
         let state = &self.jobs[job_index];
-        if state.phase != Phase::Idle {
-            return;
-        }
         let Some(rank) = state.ranking.rank(self.local_member) else {
-            self.attempts.cancel(job_index);
+            self.jobs.set_phase(job_index, Phase::Unranked);
             return;
         };
         let mut run = state.job.run_at(now.unix);
@@ -175,7 +155,12 @@
             run = state.job.run_after(state.last_settled_run);
         }
         let due_at = self.attempt_due_at(&state.job, run, rank);
-        self.attempts.schedule(job_index, due_at.max(now.unix));
+        self.attempt_at(job_index, due_at.max(now.unix));
+    }
+
+    /// Schedules a job's next attempt at this time.
+    fn attempt_at(&mut self, job_index: usize, attempt_at: UnixTime) {
+        self.jobs.set_phase(job_index, Phase::Waiting { attempt_at });
     }
 
     /// Returns the time at which the member with this rank attempts a run.
@@ -194,7 +179,7 @@
     /// Schedules another attempt at a job's current run, one stagger interval from now.
     fn retry_later(&mut self, job_index: usize, now: ClockReading) {
         let stagger = self.stagger(&self.jobs[job_index].job);
-        self.attempts.schedule(job_index, now.unix + stagger);
+        self.attempt_at(job_index, now.unix + stagger);
     }
 
     /// Returns the delay between the attempts of members with successive ranks. After the attempt of the last rank, enough of
@@ -206,22 +191,20 @@
     }
 
     /// Discards the session and all cached leases, and schedules an attempt of every job of which this instance is owner or
-    /// standby.
+    /// standby or may hold the lease. The calls in flight are no longer awaited.
     fn reset_store(&mut self, now: ClockReading, reason: ResetReason, actions: &mut Vec<Action>) {
         if self.store.reset() {
             actions.push(Action::Notify(Notice::StoreReset(reason)));
         }
-        for job_index in 0..self.jobs.len() {
+        for job_index in self.jobs.indexes() {
             let state = &mut self.jobs[job_index];
             state.cached_lease = None;
-            // The pending write of a lease may or may not be applied. Reading the lease resolves its outcome.
-            state.phase = match state.phase {
-                Phase::Writing { is_seed: false, .. } => Phase::Uncertain { pending_read: None },
-                Phase::Uncertain { pending_read } => Phase::Uncertain { pending_read },
-                _ => Phase::Idle,
-            };
-            if state.ranking.rank(self.local_member).is_some() {
-                self.attempts.schedule(job_index, now.unix);
+            // The write in flight may or may not be applied. Reading the lease resolves its outcome.
+            state.is_outcome_unknown |= matches!(state.phase(), Phase::Writing { is_seed: false, .. });
+            if state.is_outcome_unknown || state.ranking.rank(self.local_member).is_some() {
+                self.attempt_at(job_index, now.unix);
+            } else {
+                self.jobs.set_phase(job_index, Phase::Unranked);
             }
         }
     }
--- a/crates/periodic_jobs/src/scheduler/attempt.rs
+++ b/crates/periodic_jobs/src/scheduler/attempt.rs
@@ -1,19 +1,20 @@
 //! The steps of an attempt at a run, from the time when it is due to the start of the run.
 
-use super::Scheduler;
-use super::job_state::{LastRun, Phase};
+use super::jobs::{LastRun, Phase};
+use super::{LeaseRead, Scheduler};
 use crate::rendezvous::stable_hash;
 use crate::{Action, ClockReading, Config, Notice, Run, StoreCall};
 use job_lease::{ABSENT_KEY_INDEX, AcquireRequest, Decision, LeaseRecord, RunId, decide};
 use timestamps::UnixTime;
 
 impl Scheduler {
-    /// Attempts a job's run of the current period. Adds the job to `jobs_to_read` if its lease must be read first.
+    /// Attempts a job's run of the current period. Adds the job to `read` if its lease must be read first. The attempt that was due
+    /// is no longer queued then: the job awaits a response, or its next attempt is scheduled.
     pub(super) fn attempt_run(
         &mut self,
         job_index: usize,
         now: ClockReading,
-        jobs_to_read: &mut Vec<usize>,
+        read: &mut Option<LeaseRead>,
         actions: &mut Vec<Action>,
     ) {
         if !self.prepare_attempt(job_index, now) {
@@ -25,43 +26,48 @@
         }
         let state = &self.jobs[job_index];
         let is_owner = state.ranking.rank(self.local_member) == Some(0);
-        let is_lease_known = state.cached_lease.is_some() && !matches!(state.phase, Phase::Uncertain { .. });
+        let is_lease_known = state.cached_lease.is_some() && !state.is_outcome_unknown;
         // The owner normally wrote the cached lease itself and skips the read. If the cached lease is outdated, the
         // compare-and-set fails.
         if is_owner && is_lease_known && !self.store.is_unavailable() {
             self.continue_attempt(job_index, now, actions);
         } else {
-            jobs_to_read.push(job_index);
+            self.join_read(job_index, read);
         }
     }
 
-    /// Prepares a job for an attempt at the run of the current period. Returns whether to attempt this run now.
+    /// Lets a job await the read of the present tick.
+    fn join_read(&mut self, job_index: usize, read: &mut Option<LeaseRead>) {
+        let store = &mut self.store;
+        let read = read.get_or_insert_with(|| LeaseRead { call: store.next_call(), jobs: Vec::new() });
+        read.jobs.push(self.jobs[job_index].job.name.clone());
+        self.jobs.set_phase(job_index, Phase::Reading(read.call));
+    }
+
+    /// Prepares a job for an attempt at the run of the current period. Returns whether to attempt this run now. Otherwise the
+    /// next attempt is scheduled.
     fn prepare_attempt(&mut self, job_index: usize, now: ClockReading) -> bool {
         let state = &mut self.jobs[job_index];
         let run = state.job.run_at(now.unix);
-        match state.phase {
-            Phase::Idle => {
-                if state.last_settled_run >= run || state.ranking.rank(self.local_member).is_none() {
-                    self.schedule_next_run(job_index, now);
-                    return false;
-                }
-                if state.current_run != run {
-                    state.current_run = run;
-                    state.conflict_count = 0;
-                }
-                true
+        if state.is_outcome_unknown {
+            if state.current_run == run {
+                return true;
             }
-            Phase::Uncertain { .. } if state.current_run == run => true,
             // The period of the run with the uncertain lease is over. Even if the run was acquired, it may no longer start.
-            Phase::Uncertain { .. } => {
-                state.settle_current_run();
-                state.abandon_attempt();
-                self.schedule_next_run(job_index, now);
-                false
-            }
-            // The response to the pending call continues the attempt.
-            Phase::Reading(_) | Phase::Writing { .. } => false,
+            state.settle_current_run();
+            state.discard_lease();
+            self.schedule_next_run(job_index, now);
+            return false;
+        }
+        if state.last_settled_run >= run || state.ranking.rank(self.local_member).is_none() {
+            self.schedule_next_run(job_index, now);
+            return false;
+        }
+        if state.current_run != run {
+            state.current_run = run;
+            state.conflict_count = 0;
         }
+        true
     }
 
     /// Returns whether there is a session and the store may be called. Opens a session if there is none.
@@ -98,7 +104,6 @@
         let last_run_changed = state.update_last_run();
         if state.job.run_at(now.unix) != request.run {
             // The period of the run ended while the lease was being read.
-            state.phase = Phase::Idle;
             self.schedule_next_run(job_index, now);
             return;
         }
@@ -143,7 +148,6 @@
         // A record whose run is ahead of all clocks can come only from an instance whose clock is beyond the maximum skew. Such
         // a record settles only the current run, so the run of the next period is attempted.
         state.last_settled_run = if ahead_of_clocks { state.current_run } else { settled_run };
-        state.phase = Phase::Idle;
         self.schedule_next_run(job_index, now);
     }
 
@@ -157,7 +161,6 @@
         actions: &mut Vec<Action>,
     ) {
         let Some(session) = self.store.session().cloned() else {
-            self.jobs[job_index].phase = Phase::Idle;
             self.retry_later(job_index, now);
             return;
         };
@@ -166,8 +169,8 @@
         if !record.is_seed() {
             state.last_requested_run = record.run;
         }
-        state.phase = Phase::Writing { call, is_seed: record.is_seed() };
         let job = state.job.name.clone();
+        self.jobs.set_phase(job_index, Phase::Writing { call, is_seed: record.is_seed() });
         actions.push(Action::CallStore(StoreCall::CompareAndSet {
             call,
             job,
@@ -180,7 +183,6 @@
     /// Starts a job's current run, whose lease is confirmed, unless the run has started before or its deadline has passed.
     pub(super) fn start_run(&mut self, job_index: usize, now: ClockReading, actions: &mut Vec<Action>) {
         let state = &mut self.jobs[job_index];
-        state.phase = Phase::Idle;
         state.settle_current_run();
         let (job, run) = (state.job.name.clone(), state.current_run);
         state.last_run = Some(LastRun { run, holder: self.config.instance.clone() });
--- a/crates/periodic_jobs/src/scheduler/attempt_queue.rs
+++ b/crates/periodic_jobs/src/scheduler/jobs/attempt_queue.rs
@@ -44,14 +44,9 @@
         self.by_time.first().map(|attempt| attempt.due_at)
     }
 
-    /// Removes the earliest attempt if it is due, and returns the index of its job.
-    pub(super) fn pop_due(&mut self, now: UnixTime) -> Option<usize> {
-        if self.next_due()? > now {
-            return None;
-        }
-        let attempt = self.by_time.pop_first()?;
-        self.due_at_by_job.remove(&attempt.job_index);
-        Some(attempt.job_index)
+    /// Returns the job of the earliest attempt if that attempt is due.
+    pub(super) fn first_due(&self, now: UnixTime) -> Option<usize> {
+        self.by_time.first().filter(|attempt| attempt.due_at <= now).map(|attempt| attempt.job_index)
     }
 }
 
--- a/crates/periodic_jobs/src/scheduler/job_state.rs
+++ b/crates/periodic_jobs/src/scheduler/jobs/job_state.rs
@@ -3,6 +3,7 @@
 use crate::rendezvous::{JobHash, MemberHash, Members, Ranking};
 use crate::{CallId, Job};
 use job_lease::{LeaseRecord, RunId, StoredLease};
+use timestamps::UnixTime;
 
 /// The status of a job, as seen by one instance.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -17,6 +18,19 @@
     pub last_run: Option<LastRun>,
     /// The last run that this instance started. 0 if there is none.
     pub last_started_run: RunId,
+    /// The event that continues the job.
+    pub next_step: NextStep,
+}
+
+/// The event that continues a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NextStep {
+    /// None: this instance is neither owner nor standby of the job.
+    None,
+    /// The attempt at a run that is due at this time.
+    Attempt(UnixTime),
+    /// The response to this call, which is in flight.
+    Response(CallId),
 }
 
 /// The run in the last lease record that an instance has seen.
@@ -34,71 +48,80 @@
     }
 }
 
-/// The progress of an attempt at a run: which call to the lease store the attempt waits for.
-#[derive(Debug, PartialEq, Eq)]
-pub(super) enum Phase {
-    /// No read or write is pending.
-    Idle,
-    /// The read with this id is pending.
+/// What a job waits for: each phase has an event that ends it, except [`Phase::Unranked`], in which nothing is owed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(in crate::scheduler) enum Phase {
+    /// This instance is neither owner nor standby of the job, so it makes no attempts until the members change.
+    Unranked,
+    /// No call is in flight, and the next attempt is queued.
+    Waiting { attempt_at: UnixTime },
+    /// The read with this id is in flight.
     Reading(CallId),
-    /// The write with this id is pending.
+    /// The write with this id is in flight.
     Writing {
         call: CallId,
         /// Whether the record to write is a seed record, which settles runs without a lease holder.
         is_seed: bool,
     },
-    /// The outcome of a write is unknown. The lease must be read before the attempt continues.
-    Uncertain {
-        /// The id of the pending read. `None` if the read has not been requested yet.
-        pending_read: Option<CallId>,
-    },
 }
 
 impl Phase {
     /// Returns whether the job awaits the response to this read.
-    pub(super) fn awaits_read(&self, call: CallId) -> bool {
-        match self {
-            Self::Reading(pending) => *pending == call,
-            Self::Uncertain { pending_read } => *pending_read == Some(call),
-            Self::Idle | Self::Writing { .. } => false,
-        }
+    pub(super) fn awaits_read(self, call: CallId) -> bool {
+        self == Self::Reading(call)
     }
 
     /// Returns whether the job awaits the response to this write.
-    pub(super) fn awaits_write(&self, call: CallId) -> bool {
-        matches!(self, Self::Writing { call: pending, .. } if *pending == call)
+    pub(super) fn awaits_write(self, call: CallId) -> bool {
+        matches!(self, Self::Writing { call: in_flight, .. } if in_flight == call)
+    }
+}
+
+impl From<Phase> for NextStep {
+    fn from(phase: Phase) -> Self {
+        match phase {
+            Phase::Unranked => Self::None,
+            Phase::Waiting { attempt_at } => Self::Attempt(attempt_at),
+            Phase::Reading(call) | Phase::Writing { call, .. } => Self::Response(call),
+        }
     }
 }
 
 /// A job, the ranking of members for it, and the progress of its attempts.
 #[derive(Debug)]
-pub(super) struct JobState {
-    pub(super) job: Job,
-    pub(super) ranking: Ranking,
-    pub(super) phase: Phase,
+pub(in crate::scheduler) struct JobState {
+    pub(in crate::scheduler) job: Job,
+    pub(in crate::scheduler) ranking: Ranking,
+    /// Private, so that only [`Jobs::set_phase`](super::Jobs::set_phase) changes it.
+    phase: Phase,
+    /// Whether the outcome of the last write is unknown. The lease must then be read before the attempt continues, because
+    /// this instance may hold it.
+    pub(in crate::scheduler) is_outcome_unknown: bool,
     /// The run of the current or last attempt.
-    pub(super) current_run: RunId,
+    pub(in crate::scheduler) current_run: RunId,
     /// The latest settled run. All earlier runs are settled too.
-    pub(super) last_settled_run: RunId,
+    pub(in crate::scheduler) last_settled_run: RunId,
     /// The stored lease as last read or written. `None` if it must be read or the key does not exist.
-    pub(super) cached_lease: Option<StoredLease>,
+    pub(in crate::scheduler) cached_lease: Option<StoredLease>,
     /// The run in the last lease record that this instance has seen. Unlike `cached_lease`, this run is kept when the cached
     /// leases are discarded.
-    pub(super) last_run: Option<LastRun>,
+    pub(in crate::scheduler) last_run: Option<LastRun>,
     /// The last run that this instance started. 0 if there is none.
-    pub(super) last_started_run: RunId,
+    pub(in crate::scheduler) last_started_run: RunId,
     /// The last run that this state has requested to acquire. 0 if there is none.
-    pub(super) last_requested_run: RunId,
+    pub(in crate::scheduler) last_requested_run: RunId,
     /// The number of the current run's writes that conflicted with a write of another instance.
-    pub(super) conflict_count: u8,
+    pub(in crate::scheduler) conflict_count: u8,
 }
 
 impl JobState {
-    pub(super) fn new(job: Job, members: &Members, max_ranks: usize) -> Self {
+    /// Creates the state of a job of which nothing is known. Its first attempt must be scheduled next.
+    pub(in crate::scheduler) fn new(job: Job, members: &Members, max_ranks: usize) -> Self {
         Self {
             ranking: Ranking::new(JobHash::from_name(&job.name), members, max_ranks),
             job,
-            phase: Phase::Idle,
+            phase: Phase::Unranked,
+            is_outcome_unknown: false,
             current_run: RunId::default(),
             last_settled_run: RunId::default(),
             cached_lease: None,
@@ -109,7 +132,7 @@
         }
     }
 
-    pub(super) fn status(&self, members: &Members, local_member: MemberHash) -> JobStatus {
+    pub(in crate::scheduler) fn status(&self, members: &Members, local_member: MemberHash) -> JobStatus {
         let owner = self.ranking.owner().and_then(|member| members.name(member));
         JobStatus {
             job: self.job.clone(),
@@ -117,22 +140,31 @@
             rank: self.ranking.rank(local_member),
             last_run: self.last_run.clone(),
             last_started_run: self.last_started_run,
+            next_step: self.phase.into(),
         }
     }
 
+    pub(in crate::scheduler) fn phase(&self) -> Phase {
+        self.phase
+    }
+
+    pub(super) fn set_phase(&mut self, phase: Phase) {
+        self.phase = phase;
+    }
+
     /// Marks the current run as settled, so that this instance does not attempt it again.
-    pub(super) fn settle_current_run(&mut self) {
+    pub(in crate::scheduler) fn settle_current_run(&mut self) {
         self.last_settled_run = self.last_settled_run.max(self.current_run);
     }
 
-    /// Ends the attempt and discards the cached lease, so that the next attempt reads the lease.
-    pub(super) fn abandon_attempt(&mut self) {
-        self.phase = Phase::Idle;
+    /// Discards what is known of the lease, so that the next attempt reads it.
+    pub(in crate::scheduler) fn discard_lease(&mut self) {
+        self.is_outcome_unknown = false;
         self.cached_lease = None;
     }
 
     /// Sets `last_run` from the cached lease. Returns whether it has changed.
-    pub(super) fn update_last_run(&mut self) -> bool {
+    pub(in crate::scheduler) fn update_last_run(&mut self) -> bool {
         let Some(lease) = &self.cached_lease else { return false };
         let last_run = Some(LastRun::from(&lease.record));
         let changed = self.last_run != last_run;
--- a/crates/periodic_jobs/src/scheduler/responses.rs
+++ b/crates/periodic_jobs/src/scheduler/responses.rs
@@ -1,7 +1,6 @@
 //! Handlers for the responses of the lease store.
 
 use super::Scheduler;
-use super::job_state::Phase;
 use crate::{Action, CallId, ClockReading, Notice, ResetReason, StoreResponse};
 use job_lease::{CompareAndSetOutcome, LeaseListing, LeaseRecord, Session, StoreError, StoredLease};
 
@@ -90,6 +89,8 @@
                     self.reset_store(now, ResetReason::IndexDecreased, actions);
                 } else {
                     self.continue_after_read(now, call, listing, actions);
+                    // Jobs that the listing lacks, though they were to be read.
+                    self.retry_reads(now, call, jobs);
                 }
             }
             Err(error) => {
@@ -107,8 +108,10 @@
         actions: &mut Vec<Action>,
     ) {
         for listed in listing.leases {
-            if let Some(job_index) = self.job_awaiting_read(&listed.job, call) {
-                self.jobs[job_index].cached_lease = listed.lease;
+            if let Some(job_index) = self.jobs.awaiting_read(&listed.job, call) {
+                let state = &mut self.jobs[job_index];
+                state.cached_lease = listed.lease;
+                state.is_outcome_unknown = false;
                 self.continue_attempt(job_index, now, actions);
             }
         }
@@ -116,21 +119,12 @@
 
     fn retry_reads(&mut self, now: ClockReading, call: CallId, jobs: &[String]) {
         for job in jobs {
-            if let Some(job_index) = self.job_awaiting_read(job, call) {
-                if let Phase::Reading(_) = self.jobs[job_index].phase {
-                    self.jobs[job_index].phase = Phase::Idle;
-                }
+            if let Some(job_index) = self.jobs.awaiting_read(job, call) {
                 self.retry_later(job_index, now);
             }
         }
     }
 
-    /// Returns the index of the job with this name if the job awaits the response to this read.
-    fn job_awaiting_read(&self, job: &str, call: CallId) -> Option<usize> {
-        let job_index = *self.index_by_name.get(job)?;
-        self.jobs[job_index].phase.awaits_read(call).then_some(job_index)
-    }
-
     fn handle_compare_and_set_done(
         &mut self,
         now: ClockReading,
@@ -140,10 +134,7 @@
         outcome: CompareAndSetOutcome,
         actions: &mut Vec<Action>,
     ) {
-        let Some(&job_index) = self.index_by_name.get(job) else { return };
-        if !self.jobs[job_index].phase.awaits_write(call) {
-            return;
-        }
+        let Some(job_index) = self.jobs.awaiting_write(job, call) else { return };
         match outcome {
             CompareAndSetOutcome::Applied { modify_index } => {
                 self.store.record_success(actions);
@@ -155,7 +146,8 @@
                 self.store.record_success(actions);
             }
             CompareAndSetOutcome::SessionEnded => {
-                self.jobs[job_index].abandon_attempt();
+                // The write was not applied, so the reset must not treat its outcome as unknown.
+                self.attempt_at(job_index, now.unix);
                 self.store.record_success(actions);
                 self.reset_store(now, ResetReason::SessionEnded, actions);
             }
@@ -183,7 +175,6 @@
             return;
         }
         state.last_settled_run = run;
-        state.phase = Phase::Idle;
         let job = state.job.name.clone();
         actions.push(Action::Notify(Notice::Seeded { job, run }));
         self.schedule_next_run(job_index, now);
@@ -192,13 +183,13 @@
     /// Retries after another instance has changed the record, up to [`MAX_CONFLICT_RETRIES`] times per run.
     fn handle_write_conflict(&mut self, job_index: usize, now: ClockReading) {
         let state = &mut self.jobs[job_index];
-        state.abandon_attempt();
+        state.discard_lease();
         state.conflict_count += 1;
         if state.conflict_count > MAX_CONFLICT_RETRIES {
             state.settle_current_run();
             self.schedule_next_run(job_index, now);
         } else {
-            self.attempts.schedule(job_index, now.unix);
+            self.attempt_at(job_index, now.unix);
         }
     }
 
@@ -210,11 +201,12 @@
         record: &LeaseRecord,
         error: &StoreError,
     ) {
-        self.jobs[job_index].abandon_attempt();
+        let state = &mut self.jobs[job_index];
+        state.discard_lease();
         match error {
             StoreError::OutcomeUnknown(_) if !record.is_seed() => {
-                self.jobs[job_index].phase = Phase::Uncertain { pending_read: None };
-                self.attempts.schedule(job_index, now.unix);
+                state.is_outcome_unknown = true;
+                self.attempt_at(job_index, now.unix);
             }
             _ => self.retry_later(job_index, now),
         }
--- a/crates/periodic_jobs/tests/scheduler.rs
+++ b/crates/periodic_jobs/tests/scheduler.rs
@@ -5,6 +5,7 @@
 use job_lease::{
     CompareAndSetOutcome, LeaseRecord, LocalStore, RunId, StoreError, StoreErrorCause, StoredLease,
 };
+use periodic_jobs::rendezvous::{JobHash, MemberHash, Members, Ranking};
 use periodic_jobs::{
     Action, ClockReading, Job, Notice, ResetReason, Run, Scheduler, StoreCall, StoreResponse,
 };
@@ -31,6 +32,18 @@
     (UnixTime::from(run) + delay).into()
 }
 
+/// Returns members that all rank before the instance "a" for this job, more than a job has ranks.
+fn higher_ranked_members(job: &str) -> Vec<String> {
+    let mut members = Members::default();
+    let names = (0..64).map(|number| format!("m{number}"));
+    members.replace(names.clone().chain(["a".into()]));
+    let ranking = Ranking::new(JobHash::from_name(job), &members, 65);
+    let rank = |name: &str| ranking.rank(MemberHash::from_name(name));
+    let higher: Vec<String> = names.filter(|name| rank(name) < rank("a")).collect();
+    assert!(higher.len() > config("a", 1).standbys, "{higher:?}");
+    higher
+}
+
 /// An outcome that the store returns for a write in place of the actual one.
 struct InjectedOutcome {
     outcome: CompareAndSetOutcome,
@@ -140,6 +153,21 @@
         }
     }
 
+    /// Lets the simulated time pass until the scheduler requests a write, and returns the write without making it.
+    fn advance_to_write(&mut self) -> StoreCall {
+        let is_write = |action: &Action| matches!(action, Action::CallStore(StoreCall::CompareAndSet { .. }));
+        loop {
+            self.advance_clocks(TICK);
+            let mut actions = Vec::new();
+            self.scheduler.tick(self.now, &mut actions);
+            let write = actions.iter().position(is_write).map(|position| actions.swap_remove(position));
+            self.apply_actions(actions);
+            if let Some(Action::CallStore(write)) = write {
+                return write;
+            }
+        }
+    }
+
     /// Advances both clocks without a tick, as in a pause of the process.
     fn advance_clocks(&mut self, duration: Duration) {
         self.now = self.now + duration;
@@ -221,16 +249,10 @@
 #[test]
 fn a_run_acquired_after_its_deadline_does_not_start() {
     let mut harness = Harness::with_seeded_jobs(&["d"]);
-    let mut actions = Vec::new();
-    let is_write = |action: &Action| matches!(action, Action::CallStore(StoreCall::CompareAndSet { .. }));
-    while !actions.iter().any(is_write) {
-        actions.clear();
-        harness.advance_clocks(TICK);
-        harness.scheduler.tick(harness.now, &mut actions);
-    }
+    let write = harness.advance_to_write();
     // The process pauses before it receives the response.
     harness.advance_clocks(4 * PERIOD);
-    harness.apply_actions(actions);
+    harness.apply_actions(vec![Action::CallStore(write)]);
     assert!(harness.run_ids().is_empty(), "{:?}", harness.run_ids());
     assert!(matches!(harness.notices[..], [Notice::AcquiredTooLate { .. }]), "{:?}", harness.notices);
     let current_run = job("d", PERIOD).run_at(harness.now.unix);
@@ -383,3 +405,41 @@
     let stepped_back = |notice: &Notice| matches!(notice, Notice::ClockStepped { by_ms } if *by_ms < 0);
     assert!(harness.count_notices(stepped_back) > 0, "{:?}", harness.notices);
 }
+
+/// Regression: a job whose write and read had failed never ran again if the jobs were set before its next attempt, as each change
+/// of the endpoint list and each reload does.
+#[test]
+fn a_job_runs_again_after_an_outage_in_which_the_jobs_were_set() {
+    let mut harness = Harness::with_seeded_jobs(&["d"]);
+    harness.store_unavailable = true;
+    while harness.calls.reads == 0 {
+        harness.advance(TICK);
+    }
+    harness.scheduler.set_jobs(harness.now, vec![job("d", PERIOD), job("e", PERIOD)]);
+    harness.store_unavailable = false;
+    harness.advance(4 * PERIOD);
+    let runs = harness.runs.iter().filter(|run| run.job == "d").count();
+    assert!(runs >= 3, "{:?}", harness.runs);
+}
+
+/// Regression: a job whose write was pending when this instance lost its rank and its session was never attempted again, also
+/// after this instance had become its owner once more.
+#[test]
+fn a_job_runs_again_if_rank_and_session_were_lost_during_a_write() {
+    let mut harness = Harness::with_seeded_jobs(&["d"]);
+    let write = harness.advance_to_write();
+    drop(write.clone().apply_to(&mut harness.store));
+    let lost_response = write.fail(no_response());
+    harness.scheduler.set_members(harness.now, higher_ranked_members("d"));
+    let session = harness.scheduler.session().cloned().expect("a session");
+    let session_ended = StoreResponse::SessionRenewed { session, result: Ok(false) };
+    for response in [session_ended, lost_response] {
+        harness.scheduler.handle_store_response(harness.now, response, &mut Vec::new());
+    }
+    harness.advance(PERIOD / 2);
+    assert_eq!(harness.runs.len(), 1, "this instance holds the lease, so no other one starts the run");
+    harness.scheduler.set_members(harness.now, []);
+    harness.advance(4 * PERIOD);
+    assert!(harness.runs.len() >= 4, "{:?}", harness.runs);
+    harness.assert_run_ids_increase();
+}
