periodic_jobs: a job with an unknown lease runs again after a clock step that is taken back

In an outage of the lease store the wall clock is stepped forwards and back. A job whose lease is unknown then waits until the clock reaches the time to which it had been stepped.

Cause: two places. The attempt of such a job kept its time when the attempts were scheduled again after a step. And an attempt whose run was not that of the present period settled this run and with it all earlier ones, though the run was in the future and its write not applied.

Change: after a step the attempts of jobs with an unknown outcome are due at once; a run that is abandoned is not settled. The step is also detected if it falls between the first set_jobs and the first tick.

--- a/crates/periodic_jobs/src/scheduler.rs
+++ b/crates/periodic_jobs/src/scheduler.rs
@@ -36,6 +36,7 @@
     members: Members,
     jobs: Jobs,
     store: StoreConnection,
+    /// The clock reading of the last tick. Before the first tick, that of the first call of [`Scheduler::set_jobs`].
     last_clock_reading: Option<ClockReading>,
 }
 
@@ -57,6 +58,7 @@
     /// Replaces the jobs. A job whose name remains keeps its state. A job with a period below one millisecond, or with the
     /// name of an earlier job in the list, is ignored.
     pub fn set_jobs(&mut self, now: ClockReading, jobs: Vec<Job>) {
+        self.last_clock_reading.get_or_insert(now);
         let max_ranks = self.config.standbys + 1;
         self.jobs.replace(jobs, |job| JobState::new(job, &self.members, max_ranks));
         self.reschedule_all(now);
@@ -115,13 +117,25 @@
         }
     }
 
-    /// Detects a step of the Unix clock since the last tick. After a step, schedules all attempts again.
+    /// Detects a step of the Unix clock since the last tick. After a step, schedules all queued attempts again, because their
+    /// times are times before the step.
     fn detect_clock_step(&mut self, now: ClockReading, actions: &mut Vec<Action>) {
         let Some(previous) = self.last_clock_reading.replace(now) else { return };
         let by_ms = now.unix_step_ms_since(previous);
         if Duration::from_millis(by_ms.unsigned_abs()) > MIN_CLOCK_STEP {
             actions.push(Action::Notify(Notice::ClockStepped { by_ms }));
             self.reschedule_all(now);
+            self.reread_unknown_outcomes(now);
+        }
+    }
+
+    /// Lets the attempts of jobs whose last write has an unknown outcome be due at once.
+    fn reread_unknown_outcomes(&mut self, now: ClockReading) {
+        for job_index in self.jobs.indexes() {
+            let state = &self.jobs[job_index];
+            if state.is_outcome_unknown && matches!(state.phase(), Phase::Waiting { .. }) {
+                self.attempt_at(job_index, now.unix);
+            }
         }
     }
 
--- a/crates/periodic_jobs/src/scheduler/attempt.rs
+++ b/crates/periodic_jobs/src/scheduler/attempt.rs
@@ -53,8 +53,8 @@
             if state.current_run == run {
                 return true;
             }
-            // The period of the run with the uncertain lease is over. Even if the run was acquired, it may no longer start.
-            state.settle_current_run();
+            // The run whose lease this instance may hold is not that of the present period, so it may not start any more. It is
+            // not settled: if the clock was stepped back, the runs before it may still be free.
             state.discard_lease();
             self.schedule_next_run(job_index, now);
             return false;
--- a/crates/periodic_jobs/tests/scheduler.rs
+++ b/crates/periodic_jobs/tests/scheduler.rs
@@ -443,3 +443,18 @@
     assert!(harness.runs.len() >= 4, "{:?}", harness.runs);
     harness.assert_run_ids_increase();
 }
+
+/// Regression: after a step of the clock forwards and back during an outage, a job whose lease was unknown waited until the clock
+/// reached the time to which it had been stepped.
+#[test]
+fn a_job_runs_again_after_a_clock_step_that_is_taken_back_during_an_outage() {
+    const STEP: Duration = Duration::from_secs(3_600);
+    let mut harness = Harness::with_seeded_jobs(&["d"]);
+    harness.store_unavailable = true;
+    harness.now.unix = harness.now.unix + STEP;
+    harness.advance(PERIOD + PERIOD / 2);
+    harness.now.unix = harness.now.unix.saturating_sub(STEP);
+    harness.store_unavailable = false;
+    harness.advance(4 * PERIOD);
+    assert!(harness.runs.len() >= 3, "{:?}", harness.runs);
+}
