snowfield: health checks get the backends of the last endpoint lists last

With several services whose lists change at the same time, a new loan server gets no health check until the next change.

Cause: Backends::set_list passed the collected backends to the cluster after it had released the lock of the lists. A watch thread that is descheduled in between passes earlier backends on last, and the cluster replaces all health checks by them.

Change: a lock of its own is held from the change of the list until the backends are passed on. The cluster is a callback of Backends, so that the test can hold a thread up.

The new test fails without the lock. Tests of the binary, the cluster, the appliance and the catalogue pass.

--- a/crates/snowfield/src/appliance/startup.rs
+++ b/crates/snowfield/src/appliance/startup.rs
@@ -130,7 +130,8 @@
     let on_ejection_change =
         Box::new(move |ejected: &BTreeSet<String>| notified_backends.set_ejected(ejected));
     let cluster = Cluster::start(arguments.settings, arguments.jobs, on_ejection_change)?;
-    backends.set_cluster(cluster.clone());
+    let notified_cluster = cluster.clone();
+    backends.set_on_backends_change(Box::new(move |backends| notified_cluster.set_backends(backends)));
     Ok(cluster)
 }
 
--- a/crates/snowfield/src/backends.rs
+++ b/crates/snowfield/src/backends.rs
@@ -2,7 +2,7 @@
 //! the result to the connection pools and the policy.
 
 use catalogue::{Endpoint, EndpointList, EndpointNumber};
-use cluster::{Backend, Cluster};
+use cluster::Backend;
 use consul::{ServiceWatch, WatchStatus};
 use destination::{BackendEndpoint, BackendPools, HttpProtocol};
 use exchange::{AnswerCounts, Clock, Status};
@@ -18,6 +18,9 @@
 /// Limit on the backends that the status lists for each service.
 const MAX_REPORTED_BACKENDS: usize = 200;
 
+/// Called with the backends of all services, which health checks probe, after each change of an endpoint list.
+pub type OnBackendsChange = Box<dyn Fn(Vec<Backend>) + Send + Sync>;
+
 /// Merges the endpoint lists and the results of health checks, and passes the state of
 /// each backend to the connection pools and the policy.
 pub struct Backends {
@@ -25,7 +28,10 @@
     exchange: Arc<HttpExchange>,
     pools: Arc<BackendPools<HttpProtocol>>,
     state: Mutex<State>,
-    cluster: OnceLock<Arc<Cluster>>,
+    /// Held while a list is passed on, so that `on_backends_change` gets the backends of the last lists last. This is not the lock
+    /// of `state`: the cluster's thread takes that one, and passing the backends waits for that thread while its queue is full.
+    list_order: Mutex<()>,
+    on_backends_change: OnceLock<OnBackendsChange>,
     watches: OnceLock<Vec<Arc<ServiceWatch>>>,
     /// Numbers of the backends with attempts in flight, as of the last sweep.
     busy_backends: Arc<Mutex<HashSet<u32>>>,
@@ -69,16 +75,17 @@
             exchange,
             pools,
             state: Mutex::new(state),
-            cluster: OnceLock::new(),
+            list_order: Mutex::default(),
+            on_backends_change: OnceLock::new(),
             watches: OnceLock::new(),
             busy_backends: Arc::default(),
             services,
         }
     }
 
-    /// Sets the cluster, which gets the backends for its health checks. Only the first call has an effect.
-    pub fn set_cluster(&self, cluster: Arc<Cluster>) {
-        let _ = self.cluster.set(cluster);
+    /// Sets the callback that passes the backends to the health checks. Only the first call has an effect.
+    pub fn set_on_backends_change(&self, on_backends_change: OnBackendsChange) {
+        let _ = self.on_backends_change.set(on_backends_change);
     }
 
     /// Sets the watches on the services, in the order of the services. Only the first call has an effect.
@@ -119,14 +126,15 @@
 
     /// Replaces the endpoint list of the service with this index, and updates the pools, the policy and the health checks.
     pub fn set_list(&self, service: usize, list: &EndpointList) {
+        let _order = lock_or_abort(&self.list_order);
         let backends = {
             let mut state = lock_or_abort(&self.state);
             state.lists[service] = Some(list.clone());
             self.publish_endpoints(&mut state);
             self.health_checked_backends(&state)
         };
-        if let Some(cluster) = self.cluster.get() {
-            cluster.set_backends(backends);
+        if let Some(on_backends_change) = self.on_backends_change.get() {
+            on_backends_change(backends);
         }
     }
 
@@ -259,3 +267,6 @@
     let eligible = || list.endpoints.iter().filter(|endpoint| endpoint.eligible);
     eligible().map(|endpoint| endpoint.instance.weight).sum::<f64>() / eligible().count().max(1) as f64
 }
+
+#[cfg(test)]
+mod tests;
