--- a/Makefile
+++ b/Makefile
@@ -48,8 +48,8 @@
 	cargo build --release --locked -p snowfield --features weakened --target-dir target/weakened
 	target/release/proof-checkers target/weakened/release/snowfield
 
-# Two dozen real gatekeepers of the platform path under overlapping troubles, four seeded schedules of 20 s: about 90 s. Passes over just the rules that
-# KNOWN-RED.txt lists, as soak::RULE, and prints them.
+# Two dozen real gatekeepers of the platform path under overlapping faults, four seeded schedules of 20 s: about 90 s. Passes over
+# just the rules that KNOWN-RED.txt lists, as soak::RULE, and prints them.
 soak: build
 	cargo run --quiet --locked -p known_failures -- --soak KNOWN-RED.txt target/release/proof-soak --schedules 4 --seconds 20
 
--- a/crates/front_resp/src/dispatch.rs
+++ b/crates/front_resp/src/dispatch.rs
@@ -92,8 +92,8 @@
         // while the connection table was full or this process was descheduled.
         let waited = client.socket.time_since_last_data().unwrap_or_default();
         valid.request.time_left = time_left_after(valid.request.time_left, waited);
-        let deadline = Instant::now() + Duration::from_micros(valid.request.time_left);
-        let held_until = (!valid.is_idempotent).then_some(deadline);
+        let time_left = Duration::from_micros(valid.request.time_left);
+        let held_until = (!valid.is_idempotent).then(|| Instant::now() + time_left);
         let Some(open) = self.open_requests.register(valid.id, held_until) else {
             return Command::Error("the id is that of an open request".to_owned());
         };
--- a/crates/front_resp/src/open_requests.rs
+++ b/crates/front_resp/src/open_requests.rs
@@ -79,11 +79,11 @@
         match self.held_until {
             Some(held_until) => {
                 ids.abandoned.insert(AbandonedId { held_until, id });
+                ids.free_abandoned(Instant::now());
             }
             None => {
                 ids.in_use.remove(&id);
             }
         }
-        ids.free_abandoned(Instant::now());
     }
 }
--- a/crates/front_resp/src/reader.rs
+++ b/crates/front_resp/src/reader.rs
@@ -98,8 +98,8 @@
         Ok(dispatched)
     }
 
-    /// Returns the size from which an incomplete command may be delayed or shed. Below it, all connections together stay within
-    /// the budget, or the command is smaller than any that is shed.
+    /// Returns the size from which an incomplete command may be delayed or shed: a connection's share of the budget, at least
+    /// [`MIN_SHEDDABLE_BYTES`] and at most [`TYPICAL_REQUEST_BYTES`].
     fn min_sheddable_bytes(&self) -> usize {
         let share = self.memory.incomplete_command_budget.share(self.connections.max_connections());
         share.clamp(MIN_SHEDDABLE_BYTES, TYPICAL_REQUEST_BYTES)
--- a/crates/snowfield/src/platform.rs
+++ b/crates/snowfield/src/platform.rs
@@ -30,7 +30,7 @@
 const ANSWER_MARGIN: Duration = Duration::from_millis(150);
 /// Time after SIGTERM in which a request may still get a streamed answer. What SIGKILL cuts off of an answer is excused only if
 /// its request arrived within [`KILL_MARGIN`] of SIGTERM, and the signal may be handled [`ANSWER_MARGIN`] late.
-const STREAM_SUBMISSION_TIME: Duration = Duration::from_millis(550);
+const STREAM_SUBMISSION_TIME: Duration = KILL_MARGIN.saturating_sub(ANSWER_MARGIN);
 /// Time before the last answer at which the front stops accepting requests. Most requests are served within this time.
 const LAST_ACCEPT_MARGIN: Duration = Duration::from_millis(600);
 
