periodic_jobs: an attempt that reads an unknown lease is due at once when the jobs are set

A reload in an outage shortens the period of a job whose lease is unknown: the kept attempt has its time from the previous period, and the job waits for a fifth of it, with two standbys.

Cause: the queue is rebuilt from the phases, and a waiting job whose outcome is unknown kept its time also if its period changed.

Change: whenever the jobs are set or the clock is stepped, these attempts are due at once; the limit on calls to an unavailable store holds as before.

--- a/crates/periodic_jobs/src/scheduler.rs
+++ b/crates/periodic_jobs/src/scheduler.rs
@@ -125,29 +125,25 @@
         if Duration::from_millis(by_ms.unsigned_abs()) > MIN_CLOCK_STEP {
             actions.push(Action::Notify(Notice::ClockStepped { by_ms }));
             self.reschedule_all(now);
-            self.reread_unknown_outcomes(now);
         }
     }
 
-    /// Lets the attempts of jobs whose last write has an unknown outcome be due at once.
-    fn reread_unknown_outcomes(&mut self, now: ClockReading) {
+    /// Schedules all queued attempts again after the clock or the jobs have changed. The times of attempts that read a lease may
+    /// depend on the clock before a step or on the previous period of the job, so these attempts are due at once.
+    fn reschedule_all(&mut self, now: ClockReading) {
         for job_index in self.jobs.indexes() {
             let state = &self.jobs[job_index];
             if state.is_outcome_unknown && matches!(state.phase(), Phase::Waiting { .. }) {
                 self.attempt_at(job_index, now.unix);
+            } else {
+                self.reschedule(job_index, now);
             }
         }
     }
 
-    fn reschedule_all(&mut self, now: ClockReading) {
-        for job_index in self.jobs.indexes() {
-            self.reschedule(job_index, now);
-        }
-    }
-
-    /// Schedules a job's next attempt again after the job, its ranking or the clock has changed, unless the job has a call in
-    /// flight, whose response continues the attempt, or the outcome of its last write is unknown: this instance may hold the
-    /// lease, so the attempt that reads it stays queued whatever the rank is.
+    /// Schedules a job's next attempt again, unless the job has a call in flight, whose response continues the attempt, or the
+    /// outcome of its last write is unknown: this instance may hold the lease, so the attempt that reads it stays queued
+    /// whatever the rank is.
     fn reschedule(&mut self, job_index: usize, now: ClockReading) {
         let state = &self.jobs[job_index];
         let has_call_in_flight = matches!(state.phase(), Phase::Reading(_) | Phase::Writing { .. });
--- a/crates/periodic_jobs/tests/progress.rs
+++ b/crates/periodic_jobs/tests/progress.rs
@@ -19,10 +19,10 @@
 const JOB_NAMES: [&str; 4] = ["d", "e", "f", "g"];
 /// More members than a job has ranks, so that this instance may be neither owner nor standby.
 const OTHER_MEMBERS: [&str; 6] = ["b", "c", "h", "i", "j", "k"];
-const PERIODS_MS: [u64; 3] = [300, 1_000, 2_500];
-const MAX_PERIOD: Duration = Duration::from_millis(2_500);
+const PERIODS_MS: [u64; 3] = [300, 1_000, 10_000];
+const MAX_PERIOD: Duration = Duration::from_millis(10_000);
 /// The simulated time between two ticks once the events have ended.
-const TICK: Duration = Duration::from_millis(5);
+const TICK: Duration = Duration::from_millis(20);
 /// The lease id of another instance.
 const OTHER_LEASE_ID: u64 = 77;
 
--- a/crates/periodic_jobs/tests/scheduler.rs
+++ b/crates/periodic_jobs/tests/scheduler.rs
@@ -458,3 +458,20 @@
     harness.advance(4 * PERIOD);
     assert!(harness.runs.len() >= 3, "{:?}", harness.runs);
 }
+
+/// Regression: if a reload in an outage shortened the period of a job whose lease was unknown, the job waited for the time that
+/// followed from its previous period.
+#[test]
+fn a_job_runs_in_its_new_period_after_an_outage_in_which_the_period_was_shortened() {
+    const LONG_PERIOD: Duration = Duration::from_secs(600);
+    let mut harness = Harness::with_seeded_jobs(&["d"]);
+    harness.scheduler.set_jobs(harness.now, vec![job("d", LONG_PERIOD)]);
+    let write = harness.advance_to_write();
+    harness.store_unavailable = true;
+    harness.apply_actions(vec![Action::CallStore(write)]);
+    harness.advance(TICK);
+    harness.scheduler.set_jobs(harness.now, vec![job("d", PERIOD)]);
+    harness.store_unavailable = false;
+    harness.advance(4 * PERIOD);
+    assert!(harness.runs.len() >= 3, "{:?}", harness.runs);
+}
